--- /dev/null
+++ b/crates/coordination/src/consensus/election.rs
@@ -0,0 +1,93 @@
+//! Elections.
+
+use crate::consensus::message::Message;
+use crate::consensus::replica::{Hard, Id, Replica, Role};
+use std::collections::BTreeSet;
+
+impl Replica {
+    pub(crate) fn start_pre_vote(&mut self) {
+        self.reset_election();
+        if !self.members.is_voter(self.id) {
+            return;
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate(BTreeSet::from([self.id]));
+        self.ask_for_votes(true, false);
+        self.count_votes();
+    }
+
+    pub(crate) fn start_election(&mut self, is_transfer: bool) {
+        self.reset_election();
+        self.hard = Hard { term: self.hard.term + 1, vote: Some(self.id) };
+        self.ready.hard = Some(self.hard);
+        self.leader = None;
+        self.role = Role::Candidate(BTreeSet::from([self.id]));
+        self.ask_for_votes(false, is_transfer);
+        self.count_votes();
+    }
+
+    fn ask_for_votes(&mut self, is_pre: bool, is_transfer: bool) {
+        let term = if is_pre { self.hard.term + 1 } else { self.hard.term };
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let voters: Vec<Id> = self.members.voters.keys().copied().collect();
+        for to in voters.into_iter().filter(|to| *to != self.id) {
+            let message = Message::Vote { term, is_pre, is_transfer, last_index, last_term };
+            self.ready.late.push((to, message));
+        }
+    }
+
+    pub(crate) fn on_vote(
+        &mut self,
+        from: Id,
+        term: u64,
+        is_pre: bool,
+        last_index: u64,
+        last_term: u64,
+    ) {
+        let is_fresh = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
+        let is_free = self.hard.vote.is_none_or(|vote| vote == from);
+        let is_granted = if is_pre {
+            term > self.hard.term && is_fresh
+        } else {
+            term == self.hard.term && is_free && is_fresh
+        };
+        if is_granted && !is_pre {
+            self.hard.vote = Some(from);
+            self.ready.hard = Some(self.hard);
+            self.reset_election();
+        }
+        let term = if is_granted { term } else { self.hard.term };
+        self.ready.late.push((from, Message::VoteReply { term, is_pre, is_granted }));
+    }
+
+    pub(crate) fn on_vote_reply(&mut self, from: Id, term: u64, is_pre: bool, is_granted: bool) {
+        if !is_granted || !self.members.is_voter(from) {
+            return;
+        }
+        match &mut self.role {
+            Role::PreCandidate(votes) if is_pre && term == self.hard.term + 1 => {
+                votes.insert(from);
+            }
+            Role::Candidate(votes) if !is_pre && term == self.hard.term => {
+                votes.insert(from);
+            }
+            _ => return,
+        }
+        self.count_votes();
+    }
+
+    fn count_votes(&mut self) {
+        let quorum = self.members.quorum();
+        match &self.role {
+            Role::PreCandidate(votes) if votes.len() >= quorum => self.start_election(false),
+            Role::Candidate(votes) if votes.len() >= quorum => self.become_leader(),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn on_transfer(&mut self, term: u64) {
+        if term == self.hard.term && !self.is_leader() && self.members.is_voter(self.id) {
+            self.start_election(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/consensus/follower.rs
@@ -0,0 +1,133 @@
+//! What a follower does with the leader's messages.
+
+use crate::consensus::log::{Entry, Payload};
+use crate::consensus::message::{Message, Meta};
+use crate::consensus::replica::{Id, Incoming, Replica};
+
+impl Replica {
+    /// Accepts `from` as the leader of `term`; `false` if the term is old.
+    fn follow(&mut self, from: Id, term: u64) -> bool {
+        if term < self.hard.term {
+            return false;
+        }
+        debug_assert!(!self.is_leader(), "two leaders in term {term}");
+        self.become_follower(term, Some(from));
+        self.leader_seen = Some(self.now);
+        true
+    }
+
+    pub(crate) fn on_append(
+        &mut self,
+        from: Id,
+        term: u64,
+        previous: (u64, u64),
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+    ) {
+        if !self.follow(from, term) {
+            self.reply_append(from, false, self.log.last_index(), round);
+            return;
+        }
+        let (prev_index, prev_term) = previous;
+        if prev_index < self.log.base_index() {
+            self.reply_append(from, true, self.log.base_index(), round);
+            return;
+        }
+        if self.log.term(prev_index) != Some(prev_term) {
+            let hint = self.log.last_index().min(prev_index.saturating_sub(1)).max(self.commit);
+            self.reply_append(from, false, hint, round);
+            return;
+        }
+        let last_new = prev_index + entries.len() as u64;
+        entries.into_iter().for_each(|entry| self.accept(entry));
+        self.commit = self.commit.max(commit.min(last_new));
+        self.reply_append(from, true, last_new, round);
+    }
+
+    fn reply_append(&mut self, to: Id, is_ok: bool, index: u64, round: u64) {
+        let term = self.hard.term;
+        self.ready.late.push((to, Message::AppendReply { term, is_ok, index, round }));
+    }
+
+    fn accept(&mut self, entry: Entry) {
+        match self.log.term(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => self.drop_from(entry.index),
+            None if entry.index <= self.log.base_index() => return,
+            None => {}
+        }
+        let changes_members = matches!(entry.payload, Payload::Members(_));
+        self.ready.entries.push(entry.clone());
+        self.log.push(entry);
+        if changes_members {
+            self.refresh_members();
+        }
+    }
+
+    fn drop_from(&mut self, index: u64) {
+        debug_assert!(index > self.commit, "committed entry {index} dropped");
+        self.log.truncate(index);
+        self.synced = self.synced.min(index - 1);
+        self.ready.entries.retain(|entry| entry.index < index);
+        let first = self.ready.truncate.map_or(index, |earlier| earlier.min(index));
+        self.ready.truncate = Some(first);
+        self.refresh_members();
+    }
+
+    pub(crate) fn on_chunk(
+        &mut self,
+        from: Id,
+        term: u64,
+        meta: Meta,
+        (offset, total): (u64, u64),
+        digest: [u8; 32],
+        data: &[u8],
+    ) {
+        if !self.follow(from, term) {
+            return;
+        }
+        if meta.index <= self.commit {
+            self.reply_append(from, true, self.commit, 0);
+            return;
+        }
+        let is_same = self.incoming.as_ref().is_some_and(|incoming| incoming.digest == digest);
+        if !is_same {
+            self.incoming = Some(Incoming { meta: meta.clone(), digest, data: Vec::new() });
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return;
+        };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            let reply = Message::ChunkReply { term, index: meta.index, offset: received };
+            self.ready.late.push((from, reply));
+            return;
+        }
+        self.install(from);
+    }
+
+    fn install(&mut self, from: Id) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        if *blake3::hash(&incoming.data).as_bytes() != incoming.digest {
+            return;
+        }
+        let meta = incoming.meta;
+        self.log.reset(meta.index, meta.term);
+        self.base_members = meta.members.clone();
+        self.refresh_members();
+        self.commit = meta.index;
+        self.delivered = meta.index;
+        self.synced = meta.index;
+        self.ready.entries.clear();
+        self.ready.committed.clear();
+        self.ready.truncate = None;
+        self.reply_append(from, true, meta.index, 0);
+        self.ready.install = Some((meta, incoming.data));
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/consensus/leader.rs
@@ -0,0 +1,447 @@
+//! What a leader does.
+
+use crate::Millis;
+use crate::consensus::log::{Entry, Members, Payload};
+use crate::consensus::message::{Message, Meta};
+use crate::consensus::replica::{Id, NotLeader, Replica, Role};
+use std::collections::{BTreeMap, VecDeque};
+
+/// State of a leader's term.
+#[derive(Debug)]
+pub struct Leadership {
+    pub(crate) peers: BTreeMap<Id, Progress>,
+    pub(crate) tokens: BTreeMap<u64, u64>,
+    reads: VecDeque<Read>,
+    round: u64,
+    heartbeat_due: Millis,
+    since: Millis,
+}
+
+/// What the leader knows of another replica.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    matched: u64,
+    next: u64,
+    in_flight: usize,
+    seen: Option<Millis>,
+    sent: Millis,
+    round: u64,
+    snapshot: Option<Outgoing>,
+}
+
+/// A snapshot being sent.
+#[derive(Debug)]
+struct Outgoing {
+    meta: Meta,
+    digest: [u8; 32],
+    data: Vec<u8>,
+    acknowledged: u64,
+}
+
+/// A read that waits for a quorum.
+#[derive(Debug)]
+struct Read {
+    token: u64,
+    index: u64,
+    round: u64,
+}
+
+impl Leadership {
+    pub(crate) fn into_tokens(self) -> impl Iterator<Item = u64> {
+        self.tokens.into_values().chain(self.reads.into_iter().map(|read| read.token))
+    }
+}
+
+impl Progress {
+    fn new(next: u64, now: Millis) -> Self {
+        Self { matched: 0, next, in_flight: 0, seen: None, sent: now, round: 0, snapshot: None }
+    }
+}
+
+impl Replica {
+    pub(crate) fn become_leader(&mut self) {
+        let next = self.log.last_index() + 1;
+        let others = self.members.others(self.id);
+        let peers = others.into_iter().map(|id| (id, Progress::new(next, self.now))).collect();
+        self.role = Role::Leader(Box::new(Leadership {
+            peers,
+            tokens: BTreeMap::new(),
+            reads: VecDeque::new(),
+            round: 0,
+            heartbeat_due: self.now,
+            since: self.now,
+        }));
+        self.leader = Some(self.id);
+        // An entry of the own term lets earlier terms' entries commit.
+        let appended = self.append_own(Payload::Empty, None);
+        debug_assert!(appended.is_ok());
+    }
+
+    fn leadership(&mut self) -> Option<&mut Leadership> {
+        match &mut self.role {
+            Role::Leader(leadership) => Some(leadership),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn append_own(
+        &mut self,
+        payload: Payload,
+        token: Option<u64>,
+    ) -> Result<(), NotLeader> {
+        let index = self.log.last_index() + 1;
+        let known = self.leader;
+        let leadership = self.leadership().ok_or(NotLeader(known))?;
+        if let Some(token) = token {
+            leadership.tokens.insert(index, token);
+        }
+        let changes_members = matches!(payload, Payload::Members(_));
+        let entry = Entry { term: self.hard.term, index, payload };
+        self.ready.entries.push(entry.clone());
+        self.log.push(entry);
+        if changes_members {
+            self.refresh_members();
+            self.refresh_peers();
+        }
+        self.send_appends(false);
+        Ok(())
+    }
+
+    fn refresh_peers(&mut self) {
+        let others = self.members.others(self.id);
+        let (next, now) = (self.log.last_index(), self.now);
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        leadership.peers.retain(|id, _| others.contains(id));
+        for id in others {
+            leadership.peers.entry(id).or_insert_with(|| Progress::new(next, now));
+        }
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        if !self.has_quorum_contact() {
+            self.become_follower(self.hard.term, None);
+            return;
+        }
+        let (now, heartbeat_ms) = (self.now, self.settings.heartbeat_ms);
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        if now >= leadership.heartbeat_due {
+            leadership.heartbeat_due = now + heartbeat_ms;
+            self.send_appends(true);
+        }
+    }
+
+    /// Whether a quorum answered within the longest election time.
+    fn has_quorum_contact(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let horizon = self.settings.election_ms * 2;
+        let is_recent = |id: &Id| {
+            *id == self.id
+                || leadership
+                    .peers
+                    .get(id)
+                    .is_some_and(|peer| peer.seen.unwrap_or(leadership.since) + horizon > self.now)
+        };
+        let recent = self.members.voters.keys().filter(|id| is_recent(id)).count();
+        recent >= self.members.quorum()
+    }
+
+    fn send_appends(&mut self, is_heartbeat: bool) {
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        let peers: Vec<Id> = leadership.peers.keys().copied().collect();
+        peers.into_iter().for_each(|id| self.send_append(id, is_heartbeat));
+    }
+
+    fn send_append(&mut self, to: Id, is_heartbeat: bool) {
+        let (base, last, window) =
+            (self.log.base_index(), self.log.last_index(), self.settings.window);
+        let (now, retry_ms) = (self.now, self.settings.election_ms);
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        let round = leadership.round;
+        let Some(peer) = leadership.peers.get_mut(&to) else {
+            return;
+        };
+        let is_stalled = peer.sent + retry_ms <= now;
+        if peer.next <= base || peer.snapshot.is_some() {
+            let is_missing = peer.snapshot.is_none();
+            if is_missing {
+                self.ready.wants_snapshot.push(to);
+            } else if is_stalled {
+                peer.sent = now;
+                self.send_chunk(to);
+            }
+            if is_heartbeat {
+                self.send_empty(to, base, round);
+            }
+            return;
+        }
+        if is_stalled && peer.in_flight > 0 {
+            peer.next = peer.matched + 1;
+            peer.in_flight = 0;
+        }
+        if !is_heartbeat && (peer.in_flight >= window || peer.next > last) {
+            return;
+        }
+        self.send_entries(to, round, is_heartbeat);
+    }
+
+    fn send_entries(&mut self, to: Id, round: u64, is_heartbeat: bool) {
+        let (bytes, window, now) = (self.settings.batch_bytes, self.settings.window, self.now);
+        let Some(next) = self.leadership().and_then(|l| l.peers.get(&to)).map(|p| p.next) else {
+            return;
+        };
+        if next <= self.log.base_index() {
+            return;
+        }
+        let Some(prev_term) = self.log.term(next - 1) else {
+            return;
+        };
+        let mut entries = self.log.slice(next, bytes);
+        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&to)) else {
+            return;
+        };
+        if is_heartbeat && peer.in_flight >= window {
+            entries.clear();
+        }
+        peer.next += entries.len() as u64;
+        if !entries.is_empty() {
+            peer.in_flight += 1;
+            peer.sent = now;
+        }
+        let message = Message::Append {
+            term: self.hard.term,
+            prev_index: next - 1,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.ready.early.push((to, message));
+    }
+
+    /// A heartbeat that any replica can answer, whatever its log holds.
+    fn send_empty(&mut self, to: Id, base: u64, round: u64) {
+        let prev_term = self.log.term(base).unwrap_or(0);
+        let message = Message::Append {
+            term: self.hard.term,
+            prev_index: base,
+            prev_term,
+            entries: Vec::new(),
+            commit: 0,
+            round,
+        };
+        self.ready.early.push((to, message));
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: Id,
+        term: u64,
+        is_ok: bool,
+        index: u64,
+        round: u64,
+    ) {
+        if term != self.hard.term {
+            return;
+        }
+        let (now, last) = (self.now, self.log.last_index());
+        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&from)) else {
+            return;
+        };
+        peer.seen = Some(now);
+        peer.round = peer.round.max(round);
+        if is_ok {
+            peer.in_flight = peer.in_flight.saturating_sub(1);
+            peer.matched = peer.matched.max(index.min(last));
+            peer.next = peer.next.max(peer.matched + 1);
+            if peer.snapshot.as_ref().is_some_and(|s| s.meta.index <= peer.matched) {
+                peer.snapshot = None;
+            }
+        } else if peer.snapshot.is_none() {
+            peer.in_flight = 0;
+            peer.next = (index + 1).clamp(peer.matched + 1, last + 1);
+        }
+        let has_more = peer.next <= last;
+        self.advance_commit();
+        self.confirm_reads();
+        if has_more {
+            self.send_append(from, false);
+        }
+    }
+
+    pub(crate) fn advance_commit(&mut self) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let mut matched: Vec<u64> = self
+            .members
+            .voters
+            .keys()
+            .map(|id| match id {
+                id if *id == self.id => self.synced,
+                id => leadership.peers.get(id).map_or(0, |peer| peer.matched),
+            })
+            .collect();
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(index) = matched.get(self.members.quorum() - 1).copied() else {
+            return;
+        };
+        if index <= self.commit || self.log.term(index) != Some(self.hard.term) {
+            return;
+        }
+        self.commit = index;
+        if !self.members.is_voter(self.id) && index >= self.log.members_index() {
+            // This replica was removed by a committed change.
+            self.become_follower(self.hard.term, None);
+            return;
+        }
+        self.confirm_reads();
+    }
+
+    /// Starts a read; `token` comes back in [`crate::consensus::Ready::reads`] once a
+    /// quorum has confirmed the leadership.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotLeader`] if another replica leads.
+    pub fn read(&mut self, now: Millis, token: u64) -> Result<(), NotLeader> {
+        self.now = self.now.max(now);
+        let (known, index) = (self.leader, self.log.last_index());
+        let is_established = self.is_established();
+        let commit = self.commit;
+        let leadership = self.leadership().ok_or(NotLeader(known))?;
+        leadership.round += 1;
+        // Before the first own commit the true commit index is not known.
+        let index = if is_established { commit } else { index };
+        leadership.reads.push_back(Read { token, index, round: leadership.round });
+        self.send_appends(true);
+        self.confirm_reads();
+        Ok(())
+    }
+
+    fn confirm_reads(&mut self) {
+        let (id, quorum, commit) = (self.id, self.members.quorum(), self.commit);
+        let voters: Vec<Id> = self.members.voters.keys().copied().collect();
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        let mut rounds: Vec<u64> = voters
+            .iter()
+            .map(|voter| match voter {
+                voter if *voter == id => u64::MAX,
+                voter => leadership.peers.get(voter).map_or(0, |peer| peer.round),
+            })
+            .collect();
+        rounds.sort_unstable_by(|a, b| b.cmp(a));
+        let confirmed = rounds.get(quorum - 1).copied().unwrap_or(0);
+        while let Some(read) = leadership.reads.front() {
+            if read.round > confirmed || read.index > commit {
+                return;
+            }
+            self.ready.reads.push((read.token, read.index));
+            leadership.reads.pop_front();
+        }
+    }
+
+    /// Sends the machine's exported state, which ends at `meta`, to a replica that lags.
+    pub fn offer_snapshot(&mut self, to: Id, meta: Meta, data: Vec<u8>) {
+        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&to)) else {
+            return;
+        };
+        let digest = *blake3::hash(&data).as_bytes();
+        peer.next = meta.index + 1;
+        peer.snapshot = Some(Outgoing { meta, digest, data, acknowledged: 0 });
+        self.send_chunk(to);
+    }
+
+    fn send_chunk(&mut self, to: Id) {
+        let (term, size, now) = (self.hard.term, self.settings.chunk_bytes, self.now);
+        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&to)) else {
+            return;
+        };
+        peer.sent = now;
+        let Some(outgoing) = &peer.snapshot else {
+            return;
+        };
+        let start = usize::try_from(outgoing.acknowledged).unwrap_or(usize::MAX);
+        let start = start.min(outgoing.data.len());
+        let end = (start + size).min(outgoing.data.len());
+        let message = Message::Chunk {
+            term,
+            meta: outgoing.meta.clone(),
+            offset: start as u64,
+            total: outgoing.data.len() as u64,
+            digest: outgoing.digest,
+            data: outgoing.data[start..end].to_vec(),
+        };
+        self.ready.early.push((to, message));
+    }
+
+    pub(crate) fn on_chunk_reply(&mut self, from: Id, term: u64, index: u64, offset: u64) {
+        if term != self.hard.term {
+            return;
+        }
+        let now = self.now;
+        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&from)) else {
+            return;
+        };
+        peer.seen = Some(now);
+        let Some(outgoing) = peer.snapshot.as_mut().filter(|s| s.meta.index == index) else {
+            return;
+        };
+        outgoing.acknowledged = offset;
+        self.send_chunk(from);
+    }
+
+    /// Hands the leadership to the voter that has the most.
+    pub fn transfer(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        let members = self.members.clone();
+        let term = self.hard.term;
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        let voters = leadership.peers.iter().filter(|(id, _)| members.is_voter(**id));
+        if let Some((to, _)) = voters.max_by_key(|(_, peer)| peer.matched) {
+            let to = *to;
+            self.ready.late.push((to, Message::Transfer { term }));
+        }
+    }
+
+    /// Proposes new members that differ from the current ones in one replica.
+    ///
+    /// Refuses by returning `false` while an earlier change is not committed or the
+    /// leader has not committed an entry of its own term.
+    pub fn change_members(&mut self, now: Millis, members: Members) -> bool {
+        self.now = self.now.max(now);
+        let is_settled = self.log.members_index() <= self.commit;
+        if !self.is_established() || !is_settled || !differs_in_one(&self.members, &members) {
+            return false;
+        }
+        self.append_own(Payload::Members(members), None).is_ok()
+    }
+
+    /// Index up to which the other replica is known to be equal and synced.
+    pub fn matched(&self, id: Id) -> Option<u64> {
+        match &self.role {
+            Role::Leader(leadership) => Some(leadership.peers.get(&id)?.matched),
+            _ => None,
+        }
+    }
+}
+
+/// Whether the voters differ in at most one replica, so that old and new quorums overlap.
+fn differs_in_one(old: &Members, new: &Members) -> bool {
+    let gone = old.voters.keys().filter(|id| !new.is_voter(**id)).count();
+    let come = new.voters.keys().filter(|id| !old.is_voter(**id)).count();
+    gone + come <= 1 && !new.voters.is_empty()
+}
--- /dev/null
+++ b/crates/coordination/src/entry/core.rs
@@ -0,0 +1,416 @@
+//! The entry: its state, and where each input goes.
+
+use crate::Millis;
+use crate::entry::call::{Active, Cached, Stage};
+use crate::entry::input::{Answer, Input, Output, Request, refused};
+use crate::entry::policy::{self, Candidate, Job, Policy};
+use crate::entry::server::{Fleet, dispatchers};
+use crate::lease::Lease;
+use crate::retry;
+use crate::routing;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::{Deserialize, Serialize};
+use state::collections::Map;
+use state::control::{Snapshot, Weights};
+use state::error::{Kind, Ran};
+use state::id;
+use std::sync::Arc;
+
+/// Limits and timing of an entry.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Policy for order and placement.
+    pub policy: policy::Name,
+    /// Calls that may be under way, queued ones included.
+    pub calls_limit: usize,
+    /// Queued calls above which new programs are refused.
+    pub overload_queue: usize,
+    /// Wait for a call that arrives before its predecessor has ended, in milliseconds.
+    pub early_wait_ms: Millis,
+    /// Wait for a backend server or a lease, in milliseconds.
+    pub queue_wait_ms: Millis,
+    /// Delay before the journal is asked again, in milliseconds.
+    pub journal_retry_ms: Millis,
+    /// Attempts of one call.
+    pub attempts_limit: u32,
+    /// Conversation history kept in memory, in bytes.
+    pub history_cache_bytes: u64,
+    /// Length of a quarantine, in milliseconds.
+    pub quarantine_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            policy: policy::Name::default(),
+            calls_limit: 4_096,
+            overload_queue: 512,
+            early_wait_ms: 2_000,
+            queue_wait_ms: 60_000,
+            journal_retry_ms: 50,
+            attempts_limit: 6,
+            history_cache_bytes: 8 * 1024 * 1024,
+            quarantine_ms: 24 * 3_600 * 1_000,
+        }
+    }
+}
+
+/// The life of calls on one instance.
+pub struct Entry {
+    pub(crate) settings: Settings,
+    /// Milliseconds since the Unix epoch at time 0.
+    pub(crate) epoch_ms: u64,
+    pub(crate) rng: StdRng,
+    pub(crate) now: Millis,
+    pub(crate) lease: Lease,
+    pub(crate) snapshot: Snapshot,
+    pub(crate) in_force: u64,
+    pub(crate) in_force_at: Millis,
+    pub(crate) fleet: Fleet,
+    pub(crate) calls: Map<id::Call, Active>,
+    pub(crate) ops: Map<u64, id::Call>,
+    pub(crate) dispatches: Map<u64, id::Call>,
+    pub(crate) programs: Map<id::Program, Arc<Cached>>,
+    pub(crate) programs_bytes: u64,
+    pub(crate) retries: Map<String, retry::Budget>,
+    pub(crate) outputs: Vec<Output>,
+    /// Operation of the pending request for a trial, and its call.
+    pub(crate) trial_op: Option<u64>,
+    policy: Box<dyn Policy>,
+    next_id: u64,
+    arrivals: u64,
+    can_schedule: bool,
+}
+
+impl Entry {
+    /// An entry without lease or configuration.
+    ///
+    /// `epoch_ms` is the time since the Unix epoch at time 0, in milliseconds.
+    pub fn new(settings: Settings, epoch_ms: u64, seed: u64) -> Self {
+        Self {
+            policy: settings.policy.build(),
+            settings,
+            epoch_ms,
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            lease: Lease::default(),
+            snapshot: Snapshot::default(),
+            in_force: 0,
+            in_force_at: 0,
+            fleet: Fleet::default(),
+            calls: Map::default(),
+            ops: Map::default(),
+            dispatches: Map::default(),
+            programs: Map::default(),
+            programs_bytes: 0,
+            retries: Map::default(),
+            outputs: Vec::new(),
+            trial_op: None,
+            next_id: 0,
+            arrivals: 0,
+            can_schedule: false,
+        }
+    }
+
+    /// Handles one input at time `now` and returns what is to be done.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Call(request) => self.on_call(request),
+            Input::Loaded { op, result } => self.on_loaded(op, result),
+            Input::Submitted { op, result } => self.on_submitted(op, result),
+            Input::Controlled { op, result } => self.on_controlled(op, result),
+            Input::Backend { id, event } => self.on_backend(id, event),
+            Input::Renewed { holder, sent, length, snapshot, in_force } => {
+                self.lease.renew(holder, sent, length);
+                self.on_snapshot(snapshot, in_force);
+            }
+            Input::Expelled => self.lease.end(),
+            Input::Report { server, at, load } => self.fleet.report(&server, at, load),
+            Input::Leaving(names) => self.fleet.leaving(names),
+            Input::Tick => self.on_tick(),
+        }
+        self.can_schedule = true;
+        self.schedule();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Version of the control state that this entry obeys.
+    pub fn version(&self) -> u64 {
+        self.snapshot.version
+    }
+
+    /// Version that each instance which may dispatch obeys.
+    pub fn in_force(&self) -> u64 {
+        self.in_force
+    }
+
+    /// The control state that this entry obeys.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The lease.
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// What is known of the backend servers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Number of calls under way.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether new programs should be refused.
+    pub fn is_overloaded(&self) -> bool {
+        self.queued() >= self.settings.overload_queue
+    }
+
+    /// Number of calls that wait for a backend server.
+    pub fn queued(&self) -> usize {
+        self.calls.values().filter(|call| matches!(call.stage, Stage::Queued)).count()
+    }
+
+    /// Calls under way for a dump: call, stage, attempt and age in milliseconds.
+    pub fn stages(&self) -> Vec<(String, &'static str, u32, Millis)> {
+        let rows = self.calls.values();
+        rows.map(|c| (c.call().to_string(), c.stage.name(), c.attempt, self.now - c.since))
+            .collect()
+    }
+
+    /// Time since the Unix epoch, in milliseconds.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        self.epoch_ms + self.now
+    }
+
+    pub(crate) fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn on_call(&mut self, request: Request) {
+        let call = request.call.clone();
+        if let Some(active) = self.calls.get_mut(&call) {
+            if active.digest == request.digest() {
+                active.waiters.push(request.token);
+            } else {
+                let detail = "the call is under way with other content";
+                let answer = refused(&call, Kind::Conflict, Ran::No, detail);
+                self.outputs.push(Output::Answer { token: request.token, answer });
+            }
+            return;
+        }
+        self.arrivals += 1;
+        let deadline = self.now + self.settings.queue_wait_ms;
+        let active = Active::new(request, self.now, self.arrivals, deadline);
+        self.calls.insert(call.clone(), active);
+        if self.calls.len() > self.settings.calls_limit {
+            self.refuse(&call, Kind::Overloaded);
+        } else {
+            self.load(&call);
+        }
+    }
+
+    fn on_snapshot(&mut self, snapshot: Option<Box<Snapshot>>, in_force: u64) {
+        if let Some(snapshot) = snapshot
+            && snapshot.version >= self.snapshot.version
+        {
+            self.snapshot = *snapshot;
+            self.fleet.configure(&self.snapshot);
+            self.cancel_forbidden();
+        }
+        if in_force > self.in_force {
+            self.in_force = in_force;
+            self.in_force_at = self.now;
+        }
+    }
+
+    /// Cancels model calls on backend servers where they may no longer run.
+    fn cancel_forbidden(&mut self) {
+        let forbidden: Vec<id::Call> = self
+            .calls
+            .values()
+            .filter(|active| match &active.stage {
+                Stage::Running(running) => {
+                    active.request.is_idempotent && !self.is_allowed(active, &running.server)
+                }
+                _ => false,
+            })
+            .map(|active| active.call().clone())
+            .collect();
+        forbidden.iter().for_each(|call| self.give_up(call));
+    }
+
+    fn on_tick(&mut self) {
+        if self.lease.valid_holder(self.now).is_none() {
+            self.cancel_without_lease();
+        }
+        let due: Vec<id::Call> = self
+            .calls
+            .values()
+            .filter(|active| {
+                active.due.is_some_and(|due| due <= self.now)
+                    || active.deadline <= self.now
+                    || matches!(&active.stage,
+                        Stage::Running(r) | Stage::LookingUp(r) if r.until <= self.now)
+            })
+            .map(|active| active.call().clone())
+            .collect();
+        due.iter().for_each(|call| self.on_due(call));
+    }
+
+    /// Without a lease the placement rules may have changed, so streams end.
+    fn cancel_without_lease(&mut self) {
+        let running: Vec<id::Call> = self
+            .calls
+            .values()
+            .filter(|a| matches!(a.stage, Stage::Running(_)) && a.request.is_idempotent)
+            .map(|active| active.call().clone())
+            .collect();
+        running.iter().for_each(|call| self.give_up(call));
+    }
+
+    pub(crate) fn is_allowed(&self, active: &Active, server: &str) -> bool {
+        let labels = active.program.as_ref().map_or(&[][..], |program| &program.labels);
+        let deployment = &active.call().program.deployment;
+        let is_service = self
+            .snapshot
+            .config
+            .servers
+            .get(server)
+            .is_some_and(|found| found.service == active.request.service);
+        is_service && self.snapshot.config.allows(deployment, server, labels)
+    }
+
+    fn schedule(&mut self) {
+        if !std::mem::take(&mut self.can_schedule) {
+            return;
+        }
+        let Some(holder) = self.lease.valid_holder(self.now).cloned() else {
+            return;
+        };
+        let mut queue: Vec<((u8, u64), u64, id::Call)> = self
+            .calls
+            .values()
+            .filter(|active| matches!(active.stage, Stage::Queued))
+            .filter(|active| active.due.is_none_or(|due| due <= self.now))
+            .map(|active| {
+                let job = self.job(active);
+                (self.policy.rank(self.now, &job), active.arrival, active.call().clone())
+            })
+            .collect();
+        queue.sort();
+        for (_, _, call) in queue {
+            self.place(&call, &holder);
+        }
+    }
+
+    fn place(&mut self, call: &id::Call, holder: &id::Holder) {
+        let Some(active) = self.calls.get(call) else {
+            return;
+        };
+        if self.is_quarantined(&active.content) {
+            self.refuse(call, Kind::Quarantined);
+            return;
+        }
+        let allowed = self.allowed_servers(active);
+        if allowed.is_empty() {
+            let is_known = self.snapshot.config.services.contains_key(&active.request.service);
+            let kind = if is_known { Kind::PlacementForbidden } else { Kind::UnknownService };
+            self.refuse(call, kind);
+            return;
+        }
+        if self.snapshot.suspects.contains_key(&active.content) {
+            if let Some(server) = self.trial_server(call, &allowed, holder) {
+                self.begin(call, &server, holder);
+            }
+            return;
+        }
+        let (names, candidates) = self.candidates(active, allowed);
+        let job = self.job(active);
+        if let Some(name) = self.policy.place(&job, &candidates).and_then(|at| names.get(at)) {
+            let server = name.clone();
+            self.begin(call, &server, holder);
+        }
+    }
+
+    /// Backend servers on which the rules let the call run.
+    fn allowed_servers(&self, active: &Active) -> Vec<String> {
+        let names = self.snapshot.config.servers.keys();
+        names.filter(|name| self.is_allowed(active, name)).cloned().collect()
+    }
+
+    fn candidates(&self, active: &Active, allowed: Vec<String>) -> (Vec<String>, Vec<Candidate>) {
+        let trial = self.snapshot.trial.as_ref().map(|trial| trial.server.as_str());
+        let open = allowed.into_iter().filter(|name| {
+            trial != Some(name.as_str())
+                && self.fleet.get(name).is_some_and(|server| server.is_open(self.now))
+        });
+        open.filter_map(|name| Some((name.clone(), self.candidate(active, &name)?))).unzip()
+    }
+
+    fn candidate(&self, active: &Active, name: &str) -> Option<Candidate> {
+        let server = self.fleet.get(name)?;
+        let slots = self.snapshot.config.servers.get(name)?.slots;
+        let reported = server.load.map_or(0, |(_, load)| load.running + load.waiting);
+        let is_warm = server.warm(program_key(&active.call().program)).is_some();
+        Some(Candidate {
+            outstanding: server.outstanding,
+            reported,
+            slots,
+            share: slots.div_ceil(dispatchers(&self.snapshot)),
+            warm_tokens: if is_warm { self.prompt_tokens(active) } else { 0 },
+        })
+    }
+
+    pub(crate) fn prompt_tokens(&self, active: &Active) -> u64 {
+        let service = self.snapshot.config.services.get(&active.request.service);
+        let bytes_per_token = service.map_or(1, |s| u64::from(s.prompt_bytes_per_token));
+        active.prompt_bytes().div_ceil(bytes_per_token.max(1))
+    }
+
+    fn job(&self, active: &Active) -> Job {
+        let config = &self.snapshot.config;
+        let deployment = config.deployments.get(&active.call().program.deployment);
+        let program = active.program.as_ref();
+        let deadline = program.map_or(0, |p| p.deadline_ms.saturating_sub(self.epoch_ms));
+        Job {
+            arrival: active.arrival,
+            since: active.since,
+            deadline,
+            attained_tokens: program.map_or(0, |program| program.attained_tokens),
+            prompt_tokens: self.prompt_tokens(active),
+            is_urgent: config.services.get(&active.request.service).is_some_and(|s| s.is_urgent),
+            weights: deployment.map_or(Weights { latency: 1, cache: 1 }, |d| d.weights),
+        }
+    }
+
+    fn is_quarantined(&self, content: &id::Digest) -> bool {
+        let quarantine = self.snapshot.quarantine.get(content);
+        quarantine.is_some_and(|quarantine| quarantine.until_ms > self.wall_ms())
+    }
+
+    /// Answers everyone who waits for the call and forgets it.
+    pub(crate) fn finish(&mut self, call: &id::Call, answer: Answer) {
+        let Some(active) = self.calls.remove(call) else {
+            return;
+        };
+        if let Some(op) = active.op {
+            self.ops.remove(&op);
+        }
+        for token in active.waiters {
+            self.outputs.push(Output::Answer { token, answer: answer.clone() });
+        }
+    }
+}
+
+/// Key of a program's prompt in a backend server's cache.
+pub(crate) fn program_key(program: &id::Program) -> u64 {
+    routing::score(&program.deployment, &program.name)
+}
--- /dev/null
+++ b/crates/coordination/src/entry/trial.rs
@@ -0,0 +1,124 @@
+//! Suspect content runs alone.
+//!
+//! Content that was present when a backend server crashed is suspect. It runs on one
+//! backend server that, by a committed record which each entry has acknowledged, takes
+//! nothing else meanwhile; so content that merely stood beside a crash is cleared, and
+//! content that causes one is quarantined.
+
+use crate::entry::call::Stage;
+use crate::entry::core::Entry;
+use crate::entry::input::{Output, Unreachable};
+use state::control::{Command, Reply};
+use state::error::Kind;
+use state::id;
+use state::program::{self, Verdict};
+
+impl Entry {
+    /// Backend server on which the suspect call may run alone now.
+    ///
+    /// Asks for a trial if there is none.
+    pub(crate) fn trial_server(
+        &mut self,
+        call: &id::Call,
+        allowed: &[String],
+        holder: &id::Holder,
+    ) -> Option<String> {
+        let content = self.calls.get(call)?.content;
+        let Some(trial) = &self.snapshot.trial else {
+            self.ask_trial(content, allowed, holder);
+            return None;
+        };
+        if trial.digest != content || trial.holder != *holder {
+            return None;
+        }
+        let is_in_force = self.in_force >= trial.version;
+        let server = self.fleet.get(&trial.server)?;
+        let (at, load) = server.load?;
+        let is_idle = at > self.in_force_at && load.running == 0 && load.waiting == 0;
+        let is_usable = allowed.contains(&trial.server) && server.is_open(self.now);
+        let name = trial.server.clone();
+        if !is_usable {
+            self.end_trial(content, false);
+            return None;
+        }
+        let is_taken = self.calls.values().any(|active| active.is_trial);
+        if !is_in_force || !is_idle || server_is_used(server.outstanding) || is_taken {
+            return None;
+        }
+        if let Some(active) = self.calls.get_mut(call) {
+            active.is_trial = true;
+        }
+        Some(name)
+    }
+
+    fn ask_trial(&mut self, digest: id::Digest, allowed: &[String], holder: &id::Holder) {
+        if self.trial_op.is_some() {
+            return;
+        }
+        let open = allowed.iter().filter_map(|name| Some((name, self.fleet.get(name)?)));
+        let open = open.filter(|(_, server)| server.is_open(self.now));
+        let Some((server, _)) = open.min_by_key(|(name, server)| (server.outstanding, *name))
+        else {
+            return;
+        };
+        let command = Command::Try { digest, server: server.clone(), holder: holder.clone() };
+        let op = self.next_id();
+        self.trial_op = Some(op);
+        self.outputs.push(Output::Control { op, command: Box::new(command) });
+    }
+
+    pub(crate) fn end_trial(&mut self, digest: id::Digest, is_cleared: bool) {
+        let Some(holder) = self.lease.holder().cloned() else {
+            return;
+        };
+        let op = self.next_id();
+        let command = Command::Tried { digest, holder, is_cleared };
+        self.outputs.push(Output::Control { op, command: Box::new(command) });
+    }
+
+    /// Reports that the call's content was present at a crash.
+    pub(crate) fn report_crash(&mut self, call: &id::Call, server: String, incarnation: u64) {
+        let op = self.next_id();
+        let (now_ms, quarantine_ms) = (self.wall_ms(), self.settings.quarantine_ms);
+        let Some(active) = self.calls.get_mut(call) else {
+            return;
+        };
+        active.stage = Stage::Reporting { server: server.clone(), incarnation };
+        active.op = Some(op);
+        active.due = None;
+        let command =
+            Command::Crash { digest: active.content, server, incarnation, now_ms, quarantine_ms };
+        self.ops.insert(op, call.clone());
+        self.outputs.push(Output::Control { op, command: Box::new(command) });
+    }
+
+    pub(crate) fn on_controlled(&mut self, op: u64, result: Result<Reply, Unreachable>) {
+        if self.trial_op == Some(op) {
+            self.trial_op = None;
+            return;
+        }
+        let Some(call) = self.ops.remove(&op) else {
+            return;
+        };
+        let retry_at = self.now + self.settings.journal_retry_ms;
+        let Some(active) = self.calls.get_mut(&call) else {
+            return;
+        };
+        active.op = None;
+        match result {
+            Err(Unreachable) => active.due = Some(retry_at),
+            Ok(Reply::Quarantined) => {
+                let (content, is_trial) = (active.content, active.is_trial);
+                if is_trial {
+                    self.end_trial(content, false);
+                }
+                self.settle(&call, Verdict::Failed(Kind::Quarantined));
+            }
+            Ok(_) => self.requeue(&call, Some(program::Takeover::GivenUp)),
+        }
+    }
+}
+
+fn server_is_used(outstanding: u32) -> bool {
+    outstanding > 0
+}
--- /dev/null
+++ b/crates/coordination/src/lease.rs
@@ -0,0 +1,139 @@
+//! Leases that permit an entry to dispatch.
+//!
+//! A [`Lease`] is the entry's side. It counts from the moment the renewal was sent, so it
+//! ends before the [`Registry`], the control leader's side, thinks so. A change is in
+//! force once each live instance has acknowledged its version or its lease is over.
+
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+use state::collections::Map;
+use state::control::{Snapshot, Standing};
+use state::id::Holder;
+
+/// Length of a lease and the leader's allowance for clock drift.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Length, in milliseconds.
+    pub length_ms: Millis,
+    /// Time between renewals, in milliseconds.
+    pub renew_ms: Millis,
+    /// What the leader waits beyond the length, in milliseconds.
+    pub margin_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { length_ms: 2_000, renew_ms: 400, margin_ms: 200 }
+    }
+}
+
+/// An entry's permission to dispatch.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Lease {
+    holder: Option<Holder>,
+    until: Millis,
+}
+
+impl Lease {
+    /// Takes a grant for a renewal that was sent at `sent`.
+    pub fn renew(&mut self, holder: Holder, sent: Millis, length: Millis) {
+        if self.holder.as_ref() != Some(&holder) {
+            self.until = 0;
+        }
+        self.holder = Some(holder);
+        self.until = self.until.max(sent + length);
+    }
+
+    /// Gives the lease back.
+    pub fn end(&mut self) {
+        self.until = 0;
+    }
+
+    /// The life of the instance, if it is registered.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// The life of the instance, if it may dispatch now.
+    pub fn valid_holder(&self, now: Millis) -> Option<&Holder> {
+        self.holder.as_ref().filter(|_| now < self.until)
+    }
+
+    /// When it ends.
+    pub fn until(&self) -> Millis {
+        self.until
+    }
+}
+
+/// What the control leader knows of one lease.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    until: Millis,
+    acknowledged: u64,
+}
+
+/// All leases, as the control leader sees them.
+#[derive(Debug)]
+pub struct Registry {
+    settings: Settings,
+    since: Millis,
+    seen: Map<Holder, Seen>,
+}
+
+impl Registry {
+    /// Starts with a new control leader, which knows of no grant made before `now`.
+    pub fn new(settings: Settings, now: Millis) -> Self {
+        Self { settings, since: now, seen: Map::default() }
+    }
+
+    /// Grants or extends a lease along with the newest snapshot.
+    pub fn grant(&mut self, now: Millis, holder: &Holder, acknowledged: u64) {
+        let until = now + self.settings.length_ms + self.settings.margin_ms;
+        let seen = self.seen.entry(holder.clone()).or_insert(Seen { until, acknowledged: 0 });
+        seen.until = seen.until.max(until);
+        seen.acknowledged = seen.acknowledged.max(acknowledged);
+    }
+
+    /// Whether the lease of this life is surely over.
+    pub fn is_over(&self, now: Millis, holder: &Holder) -> bool {
+        let inherited = self.since + self.settings.length_ms + self.settings.margin_ms;
+        now >= self.seen.get(holder).map_or(inherited, |seen| seen.until.max(inherited))
+            || self.seen.get(holder).is_some_and(|seen| seen.until == 0)
+    }
+
+    /// Notes that the instance gave its lease back.
+    pub fn give_back(&mut self, holder: &Holder) {
+        self.seen.insert(holder.clone(), Seen { until: 0, acknowledged: u64::MAX });
+    }
+
+    /// Lives whose lease is over but which the journal does not show as expired.
+    pub fn overdue(&self, now: Millis, snapshot: &Snapshot) -> Vec<Holder> {
+        holders(snapshot).filter(|holder| self.is_over(now, holder)).collect()
+    }
+
+    /// Highest version that each instance that may dispatch obeys.
+    pub fn in_force(&self, now: Millis, snapshot: &Snapshot) -> u64 {
+        holders(snapshot)
+            .filter(|holder| !self.is_over(now, holder))
+            .map(|holder| self.seen.get(&holder).map_or(0, |seen| seen.acknowledged))
+            .min()
+            .unwrap_or(snapshot.version)
+            .min(snapshot.version)
+    }
+
+    /// Time since the last grant ends, per live instance, for a dump: name and milliseconds left.
+    pub fn remaining(&self, now: Millis, snapshot: &Snapshot) -> Vec<(String, Millis)> {
+        holders(snapshot)
+            .map(|holder| {
+                let until = self.seen.get(&holder).map_or(0, |seen| seen.until);
+                (holder.instance, until.saturating_sub(now))
+            })
+            .collect()
+    }
+}
+
+fn holders(snapshot: &Snapshot) -> impl Iterator<Item = Holder> {
+    let live = snapshot.instances.iter().filter(|(_, i)| i.standing != Standing::Expired);
+    live.map(|(name, instance)| Holder { instance: name.clone(), epoch: instance.epoch })
+}
--- /dev/null
+++ b/crates/coordination/src/routing.rs
@@ -0,0 +1,32 @@
+//! Which instance a caller should use.
+//!
+//! Rendezvous hashing spreads programs over the live instances, and moves only the
+//! programs of an instance that comes or goes.
+
+use state::control::{Snapshot, Standing};
+use state::id;
+
+/// Score of `node` for `key`; the highest wins.
+pub fn score(key: &str, node: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(node.as_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
+
+/// The instance with the highest score among `nodes`.
+pub fn pick<'a>(key: &str, nodes: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    nodes.max_by_key(|node| score(key, node))
+}
+
+/// Name and address of the entry for a program: live and not draining.
+pub fn entry<'a>(snapshot: &'a Snapshot, program: &id::Program) -> Option<(&'a str, &'a str)> {
+    let live = snapshot.instances.iter().filter(|(_, i)| i.standing == Standing::Live);
+    let key = format!("{}/{}", program.deployment, program.root());
+    let name = pick(&key, live.map(|(name, _)| name.as_str()))?;
+    let instance = snapshot.instances.get(name)?;
+    Some((name, &instance.address))
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Skeleton.
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,11 @@
+//! Shared vocabulary of the processes.
+//!
+//! Typed messages between instances ([`wire`]), towards callers and operators ([`api`])
+//! and towards backend servers ([`backend`]); the table from error kinds to answers
+//! ([`answer`]); and the checked settings file ([`settings`]).
+
+pub mod answer;
+pub mod api;
+pub mod backend;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/crates/standins/src/bin/bench.rs
@@ -0,0 +1,3 @@
+//! Compares policies under load and faults.
+
+fn main() {}
--- /dev/null
+++ b/crates/state/src/control/machine.rs
@@ -0,0 +1,384 @@
+//! The state machine of the control journal.
+
+use crate::control::command::{Command, Query, Reply, View};
+use crate::control::config::{Config, Role};
+use crate::control::snapshot::{Instance, Order, Quarantine, Snapshot, Standing, Trial};
+use crate::control::ticket::{Recorded, Target, Ticket};
+use crate::error::{Kind, Storage};
+use crate::id::{Digest, Holder};
+use crate::machine::{self, Machine};
+use crate::program::Refusal;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Backend server crashes after which content is quarantined.
+pub const CRASH_LIMIT: usize = 2;
+
+/// Accepted tickets that are remembered by number.
+const TICKETS_KEPT: usize = 20_000;
+
+/// Tickets, instances, quarantine and orders.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Control {
+    snapshot: Snapshot,
+    tickets: BTreeMap<u64, Recorded>,
+    last_numbers: BTreeMap<Target, u64>,
+    orders: BTreeMap<String, Order>,
+    last_order: u64,
+    last_epoch: u64,
+}
+
+impl Control {
+    /// What entries must obey.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Accepted tickets by number.
+    pub fn tickets(&self) -> &BTreeMap<u64, Recorded> {
+        &self.tickets
+    }
+
+    /// Orders by backend server.
+    pub fn orders(&self) -> &BTreeMap<String, Order> {
+        &self.orders
+    }
+
+    /// Executes one command.
+    pub fn execute(&mut self, command: Command) -> Reply {
+        match command {
+            Command::Seed(config) => self.seed(config),
+            Command::Ticket { ticket, now_ms } => self.ticket(&ticket, now_ms),
+            Command::InForce { number } => self.in_force(number),
+            Command::Register { instance, nonce, address, failure_domain } => {
+                self.register(&instance, nonce, address, failure_domain)
+            }
+            Command::Expire(holder) => self.expire(&holder),
+            Command::Drain { instance, is_draining } => self.drain(&instance, is_draining),
+            Command::Crash { digest, server, incarnation, now_ms, quarantine_ms } => {
+                self.crash(digest, (server, incarnation), now_ms, quarantine_ms)
+            }
+            Command::Try { digest, server, holder } => self.start_trial(digest, server, holder),
+            Command::Tried { digest, holder, is_cleared } => {
+                self.end_trial(&digest, &holder, is_cleared)
+            }
+            Command::Lift(digest) => self.lift(&digest),
+            Command::Ordered { server, number } => self.ordered(&server, number),
+        }
+    }
+
+    fn seed(&mut self, config: Config) -> Reply {
+        if self.snapshot.revision > 0 || self.snapshot.config != Config::default() {
+            return Reply::Done;
+        }
+        self.replace_config(config);
+        Reply::Done
+    }
+
+    fn ticket(&mut self, ticket: &Ticket, now_ms: u64) -> Reply {
+        let digest = match machine::encode(&ticket.changes) {
+            Ok(bytes) => Digest::of(&bytes),
+            Err(error) => return refused(Kind::Malformed, error.to_string()),
+        };
+        if let Some(known) = self.tickets.get(&ticket.number) {
+            if known.digest == digest {
+                return Reply::Accepted(known.clone());
+            }
+            let detail = format!("ticket {} was accepted with other content", ticket.number);
+            return refused(Kind::Conflict, detail);
+        }
+        if let Err(refusal) = self.check(ticket) {
+            return Reply::Refused(refusal);
+        }
+        let mut config = self.snapshot.config.clone();
+        ticket.changes.iter().for_each(|change| config.apply(change));
+        let faults = config.faults();
+        if !faults.is_empty() {
+            return refused(Kind::Invalid, faults.join("; "));
+        }
+        self.replace_config(config);
+        self.snapshot.revision += 1;
+        Reply::Accepted(self.record(ticket, digest, now_ms))
+    }
+
+    fn check(&self, ticket: &Ticket) -> Result<(), Refusal> {
+        if ticket.changes.is_empty() {
+            return Err(refusal(Kind::Invalid, "the ticket touches no object".into()));
+        }
+        let mut targets: Vec<Target> = ticket.changes.iter().map(|c| c.target()).collect();
+        targets.sort();
+        if let Some(pair) = targets.windows(2).find(|pair| pair[0] == pair[1]) {
+            return Err(refusal(Kind::Invalid, format!("{:?} is changed twice", pair[0])));
+        }
+        let latest = targets.iter().filter_map(|target| self.last_numbers.get(target)).max();
+        match latest {
+            Some(latest) if *latest >= ticket.number => Err(refusal(
+                Kind::Stale,
+                format!("ticket {} is not above {latest}, the last on its objects", ticket.number),
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    fn record(&mut self, ticket: &Ticket, digest: Digest, now_ms: u64) -> Recorded {
+        let targets: Vec<Target> = ticket.changes.iter().map(|c| c.target()).collect();
+        for target in &targets {
+            self.last_numbers.insert(target.clone(), ticket.number);
+        }
+        let recorded = Recorded {
+            digest,
+            version: self.snapshot.version,
+            is_in_force: false,
+            accepted_ms: now_ms,
+            targets,
+        };
+        self.tickets.insert(ticket.number, recorded.clone());
+        while self.tickets.len() > TICKETS_KEPT {
+            self.tickets.pop_first();
+        }
+        recorded
+    }
+
+    fn replace_config(&mut self, config: Config) {
+        self.snapshot.config = config;
+        self.snapshot.version += 1;
+        let trial_server = self.snapshot.trial.as_ref().map(|trial| trial.server.clone());
+        if trial_server.is_some_and(|name| !self.snapshot.config.servers.contains_key(&name)) {
+            self.snapshot.trial = None;
+        }
+        self.plan_orders();
+    }
+
+    /// Keeps one order for each engine, renewed when its version changes.
+    fn plan_orders(&mut self) {
+        let config = &self.snapshot.config;
+        self.orders.retain(|server, _| config.servers.contains_key(server));
+        for (name, server) in &config.servers {
+            let Some(service) = config.services.get(&server.service) else {
+                continue;
+            };
+            let is_wanted = service.role == Role::Engine && !service.version.is_empty();
+            let is_known = self.orders.get(name).is_some_and(|o| o.version == service.version);
+            if !is_wanted || is_known {
+                continue;
+            }
+            self.last_order += 1;
+            let order =
+                Order { number: self.last_order, version: service.version.clone(), is_done: false };
+            self.orders.insert(name.clone(), order);
+        }
+    }
+
+    fn in_force(&mut self, number: u64) -> Reply {
+        match self.tickets.get_mut(&number) {
+            Some(recorded) => {
+                recorded.is_in_force = true;
+                Reply::Accepted(recorded.clone())
+            }
+            None => refused(Kind::NotFound, format!("no ticket {number}")),
+        }
+    }
+
+    fn register(
+        &mut self,
+        name: &str,
+        nonce: u64,
+        address: String,
+        failure_domain: String,
+    ) -> Reply {
+        if let Some(known) = self.snapshot.instances.get(name) {
+            let is_over = known.standing == Standing::Expired;
+            if known.nonce == nonce && !is_over {
+                return Reply::Registered { epoch: known.epoch };
+            }
+            if !is_over {
+                let detail = format!("instance {name} may still hold a lease");
+                return refused(Kind::Busy, detail);
+            }
+        }
+        self.last_epoch += 1;
+        let epoch = self.last_epoch;
+        let standing = Standing::Live;
+        let instance = Instance { epoch, nonce, address, failure_domain, standing };
+        self.snapshot.instances.insert(name.to_owned(), instance);
+        self.snapshot.version += 1;
+        Reply::Registered { epoch }
+    }
+
+    fn expire(&mut self, holder: &Holder) -> Reply {
+        let Some(instance) = self.snapshot.instances.get_mut(&holder.instance) else {
+            return Reply::Done;
+        };
+        if instance.epoch == holder.epoch && instance.standing != Standing::Expired {
+            instance.standing = Standing::Expired;
+            self.snapshot.version += 1;
+        }
+        if self.snapshot.trial.as_ref().is_some_and(|trial| trial.holder == *holder) {
+            self.snapshot.trial = None;
+        }
+        Reply::Done
+    }
+
+    fn drain(&mut self, name: &str, is_draining: bool) -> Reply {
+        let Some(instance) = self.snapshot.instances.get_mut(name) else {
+            return refused(Kind::NotFound, format!("no instance {name}"));
+        };
+        let standing = if is_draining { Standing::Draining } else { Standing::Live };
+        if instance.standing != Standing::Expired && instance.standing != standing {
+            instance.standing = standing;
+            self.snapshot.version += 1;
+        }
+        Reply::Done
+    }
+
+    fn crash(
+        &mut self,
+        digest: Digest,
+        life: (String, u64),
+        now_ms: u64,
+        quarantine_ms: u64,
+    ) -> Reply {
+        self.snapshot.quarantine.retain(|_, quarantine| quarantine.until_ms > now_ms);
+        if self.snapshot.quarantine.contains_key(&digest) {
+            return Reply::Quarantined;
+        }
+        let crashes = self.snapshot.suspects.entry(digest).or_default();
+        if !crashes.insert(life) {
+            return Reply::Done;
+        }
+        self.snapshot.version += 1;
+        if crashes.len() < CRASH_LIMIT {
+            return Reply::Done;
+        }
+        let servers = crashes.iter().map(|(server, _)| server.clone()).collect();
+        let until_ms = now_ms.saturating_add(quarantine_ms);
+        self.snapshot.quarantine.insert(digest, Quarantine { servers, until_ms });
+        self.snapshot.suspects.remove(&digest);
+        Reply::Quarantined
+    }
+
+    fn start_trial(&mut self, digest: Digest, server: String, holder: Holder) -> Reply {
+        if self.snapshot.quarantine.contains_key(&digest) {
+            return Reply::Quarantined;
+        }
+        if let Some(trial) = &self.snapshot.trial {
+            if trial.digest == digest && trial.holder == holder {
+                return Reply::Done;
+            }
+            return refused(Kind::Busy, "another suspect runs alone".into());
+        }
+        self.snapshot.version += 1;
+        let version = self.snapshot.version;
+        self.snapshot.trial = Some(Trial { digest, server, holder, version });
+        Reply::Done
+    }
+
+    fn end_trial(&mut self, digest: &Digest, holder: &Holder, is_cleared: bool) -> Reply {
+        let is_own = |trial: &Trial| trial.digest == *digest && trial.holder == *holder;
+        if !self.snapshot.trial.as_ref().is_some_and(is_own) {
+            return Reply::Done;
+        }
+        self.snapshot.trial = None;
+        if is_cleared {
+            self.snapshot.suspects.remove(digest);
+        }
+        self.snapshot.version += 1;
+        Reply::Done
+    }
+
+    fn lift(&mut self, digest: &Digest) -> Reply {
+        let is_quarantined = self.snapshot.quarantine.remove(digest).is_some();
+        let is_suspect = self.snapshot.suspects.remove(digest).is_some();
+        if !is_quarantined && !is_suspect {
+            return refused(Kind::NotFound, format!("no quarantine of {digest}"));
+        }
+        self.snapshot.version += 1;
+        Reply::Done
+    }
+
+    fn ordered(&mut self, server: &str, number: u64) -> Reply {
+        if let Some(order) = self.orders.get_mut(server) {
+            order.is_done |= order.number == number;
+        }
+        Reply::Done
+    }
+
+    /// Answers one query.
+    pub fn view(&self, query: &Query) -> View {
+        match query {
+            Query::Snapshot => View::Snapshot(Box::new(self.snapshot.clone())),
+            Query::Tickets { after, limit } => View::Tickets(
+                self.tickets
+                    .range(after.saturating_add(1)..)
+                    .take(*limit)
+                    .map(|(number, recorded)| (*number, recorded.clone()))
+                    .collect(),
+            ),
+            Query::Pending { limit } => View::Tickets(
+                self.tickets
+                    .iter()
+                    .filter(|(_, recorded)| !recorded.is_in_force)
+                    .take(*limit)
+                    .map(|(number, recorded)| (*number, recorded.clone()))
+                    .collect(),
+            ),
+            Query::Orders => View::Orders(self.orders.clone()),
+        }
+    }
+}
+
+impl Machine for Control {
+    fn apply(&mut self, data: &[u8]) -> Result<Vec<u8>, Storage> {
+        let reply = self.execute(machine::decode(data)?);
+        machine::encode(&reply)
+    }
+
+    fn query(&self, data: &[u8]) -> Result<Vec<u8>, Storage> {
+        machine::encode(&self.view(&machine::decode(data)?))
+    }
+
+    fn reset(&mut self) -> Result<(), Storage> {
+        *self = Self::default();
+        Ok(())
+    }
+
+    fn save(&mut self) -> Result<Vec<u8>, Storage> {
+        self.export()
+    }
+
+    fn prune(&mut self) -> Result<(), Storage> {
+        Ok(())
+    }
+
+    fn load(&mut self, saved: &[u8]) -> Result<(), Storage> {
+        self.import(saved)
+    }
+
+    fn export(&self) -> Result<Vec<u8>, Storage> {
+        machine::encode(self)
+    }
+
+    fn import(&mut self, exported: &[u8]) -> Result<(), Storage> {
+        *self = machine::decode(exported)?;
+        Ok(())
+    }
+
+    fn dump(&self) -> String {
+        format!(
+            "{{\"version\":{},\"revision\":{},\"tickets\":{},\"instances\":{},\"quarantined\":{}}}",
+            self.snapshot.version,
+            self.snapshot.revision,
+            self.tickets.len(),
+            self.snapshot.instances.len(),
+            self.snapshot.quarantine.len()
+        )
+    }
+}
+
+fn refusal(kind: Kind, detail: String) -> Refusal {
+    Refusal { kind, detail }
+}
+
+fn refused(kind: Kind, detail: String) -> Reply {
+    Reply::Refused(refusal(kind, detail))
+}
--- /dev/null
+++ b/crates/state/src/history.rs
@@ -0,0 +1,224 @@
+//! Conversation history outside the heap.
+//!
+//! A [`Store`] appends items and reads them back by [`Locator`]. [`Files`] keeps them in
+//! segment files; an index of locators is all that stays in memory. Items reach the disk
+//! for good in [`Store::sync`], which the journal calls before it drops the log records
+//! that carried them.
+
+use crate::collections::Map;
+use crate::error::Storage;
+use serde::{Deserialize, Serialize};
+use std::fs::{File, OpenOptions};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+/// Size at which a segment file is closed, in bytes.
+const SEGMENT_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Where an item lies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Locator {
+    /// Number of the segment.
+    pub segment: u64,
+    /// Offset in the segment, in bytes.
+    pub offset: u64,
+    /// Length of the item, in bytes.
+    pub len: u64,
+    /// CRC-32 of the item.
+    pub crc: u32,
+}
+
+/// End of the history at a snapshot.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// Number of the segment written last.
+    pub segment: u64,
+    /// Its length, in bytes.
+    pub offset: u64,
+}
+
+/// Append-only storage of history items.
+pub trait Store: Send {
+    /// Appends one item.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn append(&mut self, item: &[u8]) -> Result<Locator, Storage>;
+
+    /// Reads one item back and verifies its checksum.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Storage::Damaged`] if the item differs from what was appended.
+    fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage>;
+
+    /// Makes everything appended durable and returns where it ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn sync(&mut self) -> Result<Position, Storage>;
+
+    /// Drops everything after `position`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn rewind(&mut self, position: Position) -> Result<(), Storage>;
+
+    /// Deletes segments of which `live` names no item; the one being written stays.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn retain(&mut self, live: &dyn Fn(u64) -> bool) -> Result<(), Storage>;
+}
+
+/// History in memory, for tests and single-use tools.
+#[derive(Debug, Default)]
+pub struct Memory {
+    items: Vec<Vec<u8>>,
+}
+
+impl Store for Memory {
+    fn append(&mut self, item: &[u8]) -> Result<Locator, Storage> {
+        let offset = self.items.len() as u64;
+        self.items.push(item.to_vec());
+        Ok(Locator { segment: 0, offset, len: item.len() as u64, crc: crc32fast::hash(item) })
+    }
+
+    fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage> {
+        usize::try_from(locator.offset)
+            .ok()
+            .and_then(|index| self.items.get(index))
+            .cloned()
+            .ok_or_else(|| damaged(locator))
+    }
+
+    fn sync(&mut self) -> Result<Position, Storage> {
+        Ok(Position { segment: 0, offset: self.items.len() as u64 })
+    }
+
+    fn rewind(&mut self, position: Position) -> Result<(), Storage> {
+        self.items.truncate(usize::try_from(position.offset).unwrap_or(usize::MAX));
+        Ok(())
+    }
+
+    fn retain(&mut self, _live: &dyn Fn(u64) -> bool) -> Result<(), Storage> {
+        Ok(())
+    }
+}
+
+/// History in segment files of one folder.
+#[derive(Debug)]
+pub struct Files {
+    folder: PathBuf,
+    segments: Map<u64, File>,
+    end: Position,
+}
+
+impl Files {
+    /// Opens or creates the history in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    pub fn open(folder: &Path) -> Result<Self, Storage> {
+        std::fs::create_dir_all(folder)?;
+        let mut files =
+            Self { folder: folder.to_owned(), segments: Map::default(), end: Position::default() };
+        for entry in std::fs::read_dir(folder)? {
+            let name = entry?.file_name();
+            let number = name.to_str().and_then(|name| name.strip_suffix(".history"));
+            if let Some(number) = number.and_then(|number| number.parse().ok()) {
+                files.open_segment(number)?;
+                files.end.segment = files.end.segment.max(number);
+            }
+        }
+        files.open_segment(files.end.segment)?;
+        files.end.offset = files.last()?.metadata()?.len();
+        Ok(files)
+    }
+
+    fn path(&self, segment: u64) -> PathBuf {
+        self.folder.join(format!("{segment:08}.history"))
+    }
+
+    fn open_segment(&mut self, segment: u64) -> Result<(), Storage> {
+        let path = self.path(segment);
+        let file =
+            OpenOptions::new().create(true).truncate(false).read(true).write(true).open(path)?;
+        self.segments.insert(segment, file);
+        Ok(())
+    }
+
+    fn last(&self) -> Result<&File, Storage> {
+        self.segments.get(&self.end.segment).ok_or(Storage::Stopped)
+    }
+}
+
+impl Store for Files {
+    fn append(&mut self, item: &[u8]) -> Result<Locator, Storage> {
+        if self.end.offset >= SEGMENT_BYTES {
+            self.last()?.sync_data()?;
+            self.end = Position { segment: self.end.segment + 1, offset: 0 };
+            self.open_segment(self.end.segment)?;
+        }
+        self.last()?.write_all_at(item, self.end.offset)?;
+        let locator = Locator {
+            segment: self.end.segment,
+            offset: self.end.offset,
+            len: item.len() as u64,
+            crc: crc32fast::hash(item),
+        };
+        self.end.offset += locator.len;
+        Ok(locator)
+    }
+
+    fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage> {
+        let file = self.segments.get(&locator.segment).ok_or_else(|| damaged(locator))?;
+        let mut item = vec![0; usize::try_from(locator.len).map_err(|_| damaged(locator))?];
+        file.read_exact_at(&mut item, locator.offset)?;
+        if crc32fast::hash(&item) != locator.crc {
+            return Err(damaged(locator));
+        }
+        Ok(item)
+    }
+
+    fn sync(&mut self) -> Result<Position, Storage> {
+        self.last()?.sync_data()?;
+        File::open(&self.folder)?.sync_all()?;
+        Ok(self.end)
+    }
+
+    fn rewind(&mut self, position: Position) -> Result<(), Storage> {
+        let later: Vec<u64> =
+            self.segments.keys().copied().filter(|number| *number > position.segment).collect();
+        for number in later {
+            self.segments.remove(&number);
+            std::fs::remove_file(self.path(number))?;
+        }
+        if !self.segments.contains_key(&position.segment) {
+            self.open_segment(position.segment)?;
+        }
+        self.end = position;
+        self.last()?.set_len(position.offset)?;
+        Ok(())
+    }
+
+    fn retain(&mut self, live: &dyn Fn(u64) -> bool) -> Result<(), Storage> {
+        let last = self.end.segment;
+        let dead: Vec<u64> =
+            self.segments.keys().copied().filter(|n| *n != last && !live(*n)).collect();
+        for number in dead {
+            self.segments.remove(&number);
+            std::fs::remove_file(self.path(number))?;
+        }
+        Ok(())
+    }
+}
+
+fn damaged(locator: &Locator) -> Storage {
+    Storage::Damaged { file: format!("{:08}.history", locator.segment), offset: locator.offset }
+}
--- /dev/null
+++ b/crates/transport/src/clock.rs
@@ -0,0 +1,34 @@
+//! The process's clock.
+
+use coordination::Millis;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// A monotonic clock with its offset to the Unix epoch.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock {
+    start: Instant,
+    epoch_ms: u64,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let epoch_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        Self { start: Instant::now(), epoch_ms }
+    }
+
+    /// Time since the process started.
+    pub(crate) fn now(&self) -> Millis {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(Millis::MAX)
+    }
+
+    /// Time since the Unix epoch at the start of the process, in milliseconds.
+    pub(crate) fn epoch_ms(&self) -> u64 {
+        self.epoch_ms
+    }
+
+    /// Time since the Unix epoch, in milliseconds.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        self.epoch_ms + self.now()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Metrics of one process.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use state::error::Kind;
+
+/// Label with an error kind; the list of kinds is closed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct KindLabel {
+    kind: String,
+}
+
+/// Label with a journal's number.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct GroupLabel {
+    group: u32,
+}
+
+/// All metrics.
+#[derive(Default)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) answers: Counter,
+    refusals: Family<KindLabel, Counter>,
+    pub(crate) dispatches: Counter,
+    pub(crate) retries: Counter,
+    pub(crate) queued: Gauge,
+    pub(crate) calls: Gauge,
+    pub(crate) slots_used: Gauge,
+    pub(crate) lease_ms: Gauge,
+    pub(crate) version: Gauge,
+    pub(crate) revision: Gauge,
+    pub(crate) quarantined: Gauge,
+    pub(crate) releases: Counter,
+    pub(crate) release_backlog: Gauge,
+    pub(crate) spent_tokens: Counter,
+    commit: Family<GroupLabel, Gauge>,
+    lag: Family<GroupLabel, Gauge>,
+    syncs: Family<GroupLabel, Gauge>,
+    sync_micros: Family<GroupLabel, Gauge>,
+    bytes: Family<GroupLabel, Gauge>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics =
+            Self { registry: Registry::with_prefix("buckthornshelf"), ..Self::default() };
+        metrics.register_calls();
+        metrics.register_state();
+        metrics.register_journals();
+        metrics
+    }
+
+    fn register_calls(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Calls answered", self.answers.clone());
+        registry.register("refusals", "Calls refused or failed, by kind", self.refusals.clone());
+        registry.register(
+            "dispatches",
+            "Attempts handed to backend servers",
+            self.dispatches.clone(),
+        );
+        registry.register("retries", "Attempts after the first", self.retries.clone());
+        registry.register("queued", "Calls waiting for a backend server", self.queued.clone());
+        registry.register("calls", "Calls under way", self.calls.clone());
+        registry.register(
+            "slots_used",
+            "Attempts running on backend servers",
+            self.slots_used.clone(),
+        );
+        registry.register(
+            "spent_tokens",
+            "Tokens drawn by answered calls",
+            self.spent_tokens.clone(),
+        );
+    }
+
+    fn register_state(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "lease_ms",
+            "Time left of the lease, in milliseconds",
+            self.lease_ms.clone(),
+        );
+        registry.register("version", "Version of the control state obeyed", self.version.clone());
+        registry.register("config_revision", "Tickets in the control state", self.revision.clone());
+        registry.register("quarantined", "Contents in quarantine", self.quarantined.clone());
+        registry.register("releases", "Memory releases acknowledged", self.releases.clone());
+        registry.register(
+            "release_backlog",
+            "Memory releases pending",
+            self.release_backlog.clone(),
+        );
+    }
+
+    fn register_journals(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("journal_commit", "Commit index", self.commit.clone());
+        registry.register("journal_lag", "Entries appended and not applied", self.lag.clone());
+        registry.register("journal_syncs", "Syncs", self.syncs.clone());
+        registry.register(
+            "journal_sync_micros",
+            "Time in syncs, in microseconds",
+            self.sync_micros.clone(),
+        );
+        registry.register("journal_bytes", "Bytes written", self.bytes.clone());
+    }
+
+    pub(crate) fn refuse(&self, kind: Kind) {
+        let kind = format!("{kind:?}");
+        self.refusals.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    pub(crate) fn journal(&self, group: u32, status: &crate::replica::Status) {
+        let label = GroupLabel { group };
+        let lag = status.last_index.saturating_sub(status.applied);
+        let rows = [
+            (&self.commit, status.commit),
+            (&self.lag, lag),
+            (&self.syncs, status.syncs),
+            (&self.sync_micros, status.sync_micros),
+            (&self.bytes, status.bytes_written),
+        ];
+        for (family, value) in rows {
+            family.get_or_create(&label).set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Text in the OpenMetrics format.
+    pub(crate) fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/transport/src/operators.rs
@@ -0,0 +1,340 @@
+//! The operators' interface, on an address of its own.
+
+use crate::access::Tokens;
+use crate::actor::View;
+use crate::callers::refusal_of;
+use crate::journal::Journal;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::node::Inspect;
+use crate::replica::Handle as Replica;
+use crate::reply::{self, Result, bearer, not_run, unreachable};
+use protocol::api::{self, Done};
+use protocol::wire::{Request as Wire, Response as WireResponse};
+use salvo::{FlowCtrl, Request, Response, Router, handler};
+use serde_json::{Value, json};
+use state::collections::Map;
+use state::control::{self, Target, Ticket};
+use state::error::{Kind, Ran};
+use state::id;
+use state::program::{self, Close, Query, Reply, Summary};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Largest body from an operator, in bytes.
+const BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time for an operator's body to arrive.
+const BODY_TIME: Duration = Duration::from_secs(30);
+
+/// Longest wait for a ticket to be in force.
+const WAIT_MOST: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a ticket.
+const WAIT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time for another instance to give its dump.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Rows of a listing.
+const ROWS: usize = 1_000;
+
+/// What the handlers share.
+pub(crate) struct Operators {
+    pub(crate) clock: crate::clock::Clock,
+    pub(crate) tokens: Tokens,
+    pub(crate) journal: Arc<Journal>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) groups: Map<u32, Replica>,
+    pub(crate) view: watch::Receiver<View>,
+    pub(crate) inspect: Arc<Inspect>,
+}
+
+/// Routes of the operators' address.
+pub(crate) fn router(operators: Arc<Operators>) -> Router {
+    let on = |action| Route { operators: operators.clone(), action };
+    let programs = Router::with_path("programs").get(on(Action::Programs)).push(
+        Router::with_path("{deployment}/{program}")
+            .get(on(Action::Program))
+            .delete(on(Action::CancelProgram)),
+    );
+    let tickets = Router::with_path("tickets")
+        .post(on(Action::ApplyTicket))
+        .get(on(Action::Tickets))
+        .push(Router::with_path("{number}").get(on(Action::Ticket)));
+    let quarantine = Router::with_path("quarantine")
+        .get(on(Action::Quarantine))
+        .push(Router::with_path("{digest}").delete(on(Action::Lift)));
+    let v1 = Router::with_path("v1")
+        .push(tickets)
+        .push(programs)
+        .push(quarantine)
+        .push(Router::with_path("status").get(on(Action::Status)))
+        .push(Router::with_path("config").get(on(Action::Config)))
+        .push(Router::with_path("instances").get(on(Action::Instances)))
+        .push(Router::with_path("drain/{instance}").post(on(Action::Drain)))
+        .push(Router::with_path("dump/{instance}").get(on(Action::Dump)));
+    Router::new().push(Router::with_path("health").get(on(Action::Health))).push(
+        Router::new()
+            .hoop(Guard(operators.clone()))
+            .push(Router::with_path("metrics").get(on(Action::Metrics)))
+            .push(Router::with_path("dump").get(on(Action::OwnDump)))
+            .push(v1),
+    )
+}
+
+/// Lets only operators through.
+struct Guard(Arc<Operators>);
+
+#[handler]
+impl Guard {
+    async fn handle(&self, request: &mut Request, response: &mut Response, ctrl: &mut FlowCtrl) {
+        if !self.0.tokens.is_operator(bearer(request).as_deref()) {
+            reply::refuse(response, not_run(Kind::Unauthorized, "an operator's bearer token"));
+            ctrl.skip_rest();
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Action {
+    Health,
+    Metrics,
+    OwnDump,
+    Dump,
+    Status,
+    Config,
+    Instances,
+    Drain,
+    Quarantine,
+    Lift,
+    Programs,
+    Program,
+    CancelProgram,
+    ApplyTicket,
+    Tickets,
+    Ticket,
+}
+
+struct Route {
+    operators: Arc<Operators>,
+    action: Action,
+}
+
+#[handler]
+impl Route {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let operators = &self.operators;
+        let result = match self.action {
+            Action::Health => return response.render("ok"),
+            Action::Metrics => return response.render(operators.metrics()),
+            Action::OwnDump => Ok(operators.inspect.dump(request.query("section")).await),
+            Action::Dump => operators.dump(request).await,
+            Action::Status => operators.status().await,
+            Action::Config => to_value(&operators.snapshot().config),
+            Action::Instances => to_value(&operators.snapshot().instances),
+            Action::Drain => operators.drain(request).await,
+            Action::Quarantine => operators.quarantine(),
+            Action::Lift => operators.lift(request).await,
+            Action::Programs => operators.programs(request).await,
+            Action::Program => operators.program(request).await,
+            Action::CancelProgram => operators.cancel_program(request).await,
+            Action::ApplyTicket => operators.apply_ticket(request).await,
+            Action::Tickets => operators.tickets().await,
+            Action::Ticket => operators.ticket(request).await,
+        };
+        reply::write(response, result);
+    }
+}
+
+impl Operators {
+    fn snapshot(&self) -> Arc<control::Snapshot> {
+        self.view.borrow().snapshot.clone()
+    }
+
+    fn metrics(&self) -> String {
+        for (group, replica) in &self.groups {
+            self.metrics.journal(*group, &replica.status.borrow());
+        }
+        self.metrics.render()
+    }
+
+    async fn dump(&self, request: &mut Request) -> Result<Value> {
+        let instance = reply::param(request, "instance")?;
+        let section = request.query("section");
+        match self.links.call(&instance, Wire::Dump { section }, DUMP_TIMEOUT).await {
+            Ok(WireResponse::Text(text)) => serde_json::from_str(&text)
+                .map_err(|error| not_run(Kind::Unavailable, error.to_string())),
+            _ => {
+                let known = self.links.names();
+                let detail = format!("instance {instance:?} gave no dump; known: {known:?}");
+                Err(not_run(Kind::Unavailable, detail))
+            }
+        }
+    }
+
+    async fn status(&self) -> Result<Value> {
+        let names = self.links.names();
+        let dumps = names.iter().map(|name| {
+            let request = Wire::Dump { section: Some("summary".into()) };
+            self.links.call(name, request, DUMP_TIMEOUT)
+        });
+        let dumps = futures_util::future::join_all(dumps).await;
+        let rows = names.iter().zip(dumps).map(|(name, dump)| match dump {
+            Ok(WireResponse::Text(text)) => {
+                serde_json::from_str(&text).unwrap_or_else(|_| json!({ "name": name }))
+            }
+            _ => json!({ "name": name, "is_reachable": false }),
+        });
+        Ok(Value::Array(rows.collect()))
+    }
+
+    async fn control(&self, command: &control::Command) -> Result<control::Reply> {
+        match self.journal.submit_control(command).await {
+            Ok(control::Reply::Refused(refusal)) => Err(not_run(refusal.kind, refusal.detail)),
+            Ok(reply) => Ok(reply),
+            Err(_) => Err(unreachable()),
+        }
+    }
+
+    async fn drain(&self, request: &mut Request) -> Result<Value> {
+        let instance = reply::param(request, "instance")?;
+        let is_draining = !request.query::<bool>("undo").unwrap_or(false);
+        self.control(&control::Command::Drain { instance, is_draining }).await?;
+        to_value(&Done { done: true })
+    }
+
+    fn quarantine(&self) -> Result<Value> {
+        let snapshot = self.snapshot();
+        let rows = snapshot.quarantine.iter().map(|(digest, quarantine)| {
+            json!({
+                "digest": digest.to_string(), "servers": quarantine.servers,
+                "until_ms": quarantine.until_ms,
+            })
+        });
+        Ok(Value::Array(rows.collect()))
+    }
+
+    async fn lift(&self, request: &mut Request) -> Result<Value> {
+        let text = reply::param(request, "digest")?;
+        let digest = blake3::Hash::from_hex(&text)
+            .map_err(|_| not_run(Kind::Malformed, "accepted: 64 hexadecimal digits"))?;
+        self.control(&control::Command::Lift(id::Digest(*digest.as_bytes()))).await?;
+        to_value(&Done { done: true })
+    }
+
+    async fn list(&self, deployment: Option<String>) -> Result<Vec<Summary>> {
+        let mut programs = Vec::new();
+        for group in self.journal.groups() {
+            let query = Query::List { deployment: deployment.clone(), limit: ROWS };
+            match self.journal.query(group, &query).await {
+                Ok(program::View::Programs(rows)) => programs.extend(rows),
+                _ => return Err(unreachable()),
+            }
+        }
+        Ok(programs)
+    }
+
+    async fn programs(&self, request: &mut Request) -> Result<Value> {
+        to_value(&self.list(request.query("deployment")).await?)
+    }
+
+    async fn program(&self, request: &mut Request) -> Result<Value> {
+        let program = program_of(request)?;
+        let query = Query::Program(program.clone());
+        match self.journal.query(self.journal.group(&program), &query).await {
+            Ok(program::View::Programs(rows)) => to_value(&rows),
+            Ok(program::View::Refused(refusal)) => Err(not_run(refusal.kind, refusal.detail)),
+            _ => Err(unreachable()),
+        }
+    }
+
+    async fn cancel_program(&self, request: &mut Request) -> Result<Value> {
+        let program = program_of(request)?;
+        let now_ms = self.clock.wall_ms();
+        let close = Close { program: program.clone(), force: true, now_ms };
+        match self.journal.submit(&program, &program::Command::Close(close)).await {
+            Ok(Reply::Done) => to_value(&Done { done: true }),
+            Ok(other) => Err(refusal_of(other)),
+            Err(_) => Err(unreachable()),
+        }
+    }
+
+    async fn apply_ticket(&self, request: &mut Request) -> Result<Value> {
+        let wait_ms = request.query::<u64>("wait_ms").unwrap_or(0);
+        let ticket: Ticket = reply::json(request, BODY_BYTES, BODY_TIME).await?;
+        let number = ticket.number;
+        let command = control::Command::Ticket { ticket, now_ms: self.clock.wall_ms() };
+        let control::Reply::Accepted(recorded) = self.control(&command).await? else {
+            return Err(unreachable());
+        };
+        tracing::info!(ticket = number, version = recorded.version, "ticket accepted");
+        let wait = Duration::from_millis(wait_ms).min(WAIT_MOST);
+        let deadline = tokio::time::Instant::now() + wait;
+        let mut latest = recorded;
+        while !latest.is_in_force && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(WAIT_PAUSE).await;
+            latest = self.recorded(number).await?;
+        }
+        to_value(&to_status(number, &latest))
+    }
+
+    async fn recorded(&self, number: u64) -> Result<control::Recorded> {
+        let after = number.saturating_sub(1);
+        let query = control::Query::Tickets { after, limit: 1 };
+        match self.journal.query_control(&query).await {
+            Ok(control::View::Tickets(tickets)) => tickets
+                .get(&number)
+                .cloned()
+                .ok_or_else(|| not_run(Kind::NotFound, format!("no ticket {number}"))),
+            _ => Err(unreachable()),
+        }
+    }
+
+    async fn tickets(&self) -> Result<Value> {
+        let query = control::Query::Tickets { after: 0, limit: usize::MAX };
+        match self.journal.query_control(&query).await {
+            Ok(control::View::Tickets(tickets)) => {
+                let rows: Vec<_> =
+                    tickets.iter().rev().take(ROWS).map(|(n, r)| to_status(*n, r)).collect();
+                to_value(&rows)
+            }
+            _ => Err(unreachable()),
+        }
+    }
+
+    async fn ticket(&self, request: &mut Request) -> Result<Value> {
+        let text = reply::param(request, "number")?;
+        let number = text.parse().map_err(|_| {
+            not_run(Kind::Malformed, format!("ticket {text:?}; accepted: a number"))
+        })?;
+        to_value(&to_status(number, &self.recorded(number).await?))
+    }
+}
+
+fn program_of(request: &Request) -> Result<id::Program> {
+    let deployment = reply::param(request, "deployment")?;
+    Ok(id::Program::new(&deployment, &reply::param(request, "program")?))
+}
+
+fn to_status(number: u64, recorded: &control::Recorded) -> api::Ticket {
+    let name = |target: &Target| match target {
+        Target::Deployment(name) => format!("deployment {name}"),
+        Target::Server(name) => format!("server {name}"),
+        Target::Service(name) => format!("service {name}"),
+    };
+    api::Ticket {
+        number,
+        version: recorded.version,
+        in_force: recorded.is_in_force,
+        accepted_ms: recorded.accepted_ms,
+        objects: recorded.targets.iter().map(name).collect(),
+    }
+}
+
+fn to_value<T: serde::Serialize>(value: &T) -> Result<Value> {
+    serde_json::to_value(value)
+        .map_err(|error| protocol::answer::Refusal::new(Kind::Failed, Ran::Yes, error.to_string()))
+}
--- /dev/null
+++ b/crates/transport/src/replica.rs
@@ -0,0 +1,415 @@
+//! The thread of one replica.
+//!
+//! It owns the journal's files and the machine, and drives the consensus state machine.
+//! All messages that arrived together are handled before one sync: group commit.
+
+use crate::clock::Clock;
+use crate::links::Links;
+use crate::storage::{Identity, Opened};
+use coordination::consensus::{Entry, Id, Message, Meta, Payload, Plan, Ready, Replica, Settings};
+use protocol::wire::Envelope;
+use state::collections::Map;
+use state::error::Storage;
+use state::journal::{Log, Record};
+use state::machine::{self, Machine};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
+
+/// Longest wait for a message before the clock advances.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Messages handled before one sync.
+const BATCH: usize = 512;
+
+/// How a journal answered a command or query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// Encoded reply.
+    Data(Vec<u8>),
+    /// Another instance leads, perhaps this one.
+    NotLeader(Option<String>),
+    /// The command may or may not be in effect.
+    Unknown,
+}
+
+/// Work for the thread.
+pub(crate) enum Job {
+    Messages { instance: String, messages: Vec<(Id, Message)> },
+    Submit { command: Vec<u8>, reply: oneshot::Sender<Outcome> },
+    Query { query: Vec<u8>, reply: oneshot::Sender<Outcome> },
+    Join { instance: String, id: Id },
+    Transfer,
+    Dump { reply: oneshot::Sender<String> },
+}
+
+/// What the process sees of a replica.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Status {
+    pub(crate) is_leader: bool,
+    pub(crate) is_established: bool,
+    pub(crate) is_voter: bool,
+    pub(crate) term: u64,
+    pub(crate) commit: u64,
+    pub(crate) applied: u64,
+    pub(crate) last_index: u64,
+    pub(crate) base_index: u64,
+    pub(crate) leader: Option<String>,
+    pub(crate) members: Vec<(Id, String, bool)>,
+    pub(crate) syncs: u64,
+    pub(crate) sync_micros: u64,
+    pub(crate) bytes_written: u64,
+    pub(crate) fault: Option<String>,
+}
+
+/// Access to one replica's thread; closing it ends the thread.
+#[derive(Clone)]
+pub(crate) struct Handle {
+    pub(crate) jobs: Sender<Job>,
+    pub(crate) status: watch::Receiver<Status>,
+}
+
+impl Handle {
+    pub(crate) async fn submit(&self, command: Vec<u8>) -> Outcome {
+        let (reply, answer) = oneshot::channel();
+        if self.jobs.send(Job::Submit { command, reply }).is_err() {
+            return Outcome::NotLeader(None);
+        }
+        answer.await.unwrap_or(Outcome::Unknown)
+    }
+
+    pub(crate) async fn query(&self, query: Vec<u8>) -> Outcome {
+        let (reply, answer) = oneshot::channel();
+        if self.jobs.send(Job::Query { query, reply }).is_err() {
+            return Outcome::NotLeader(None);
+        }
+        answer.await.unwrap_or(Outcome::Unknown)
+    }
+
+    /// Whether it leads and knows every committed entry.
+    pub(crate) fn leads(&self) -> bool {
+        self.status.borrow().is_established
+    }
+}
+
+/// Settings of one replica's thread.
+pub(crate) struct Start {
+    pub(crate) group: u32,
+    pub(crate) identity: Identity,
+    pub(crate) clock: Clock,
+    pub(crate) consensus: Settings,
+    pub(crate) compact_bytes: u64,
+    pub(crate) seed: u64,
+    pub(crate) opened: Opened,
+    pub(crate) links: Arc<Links>,
+}
+
+/// Starts the thread.
+pub(crate) fn start(start: Start) -> std::io::Result<Handle> {
+    let (jobs, inbox) = channel();
+    let (publish, status) = watch::channel(Status::default());
+    let name = format!("journal-{}", start.group);
+    std::thread::Builder::new().name(name).spawn(move || {
+        Thread::new(start, publish).run(&inbox);
+    })?;
+    Ok(Handle { jobs, status })
+}
+
+struct Thread {
+    group: u32,
+    id: Id,
+    clock: Clock,
+    replica: Replica,
+    machine: Box<dyn Machine>,
+    log: Box<dyn Log>,
+    links: Arc<Links>,
+    compact_bytes: u64,
+    names: Map<Id, String>,
+    next_token: u64,
+    pending: Map<u64, oneshot::Sender<Outcome>>,
+    queries: Map<u64, Vec<u8>>,
+    waiting_reads: Vec<(u64, u64)>,
+    plans: Map<Id, Plan>,
+    applied: u64,
+    status: Status,
+    publish: watch::Sender<Status>,
+}
+
+impl Thread {
+    fn new(start: Start, publish: watch::Sender<Status>) -> Self {
+        let applied = start.opened.restored.snapshot.index;
+        let replica = Replica::new(
+            start.identity.id,
+            start.consensus,
+            start.seed,
+            start.clock.now(),
+            start.opened.restored,
+            &start.identity.founders,
+        );
+        Self {
+            group: start.group,
+            id: start.identity.id,
+            clock: start.clock,
+            replica,
+            machine: start.opened.machine,
+            log: Box::new(start.opened.log),
+            links: start.links,
+            compact_bytes: start.compact_bytes,
+            names: Map::default(),
+            next_token: 0,
+            pending: Map::default(),
+            queries: Map::default(),
+            waiting_reads: Vec::new(),
+            plans: Map::default(),
+            applied,
+            status: Status::default(),
+            publish,
+        }
+    }
+
+    fn run(mut self, inbox: &Receiver<Job>) {
+        loop {
+            match inbox.recv_timeout(TICK) {
+                Ok(job) => self.take(job),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            inbox.try_iter().take(BATCH).for_each(|job| self.take(job));
+            self.replica.tick(self.clock.now());
+            self.advance_plans();
+            if let Err(error) = self.work() {
+                tracing::error!(group = self.group, %error, "replica stopped");
+                self.status.fault = Some(error.to_string());
+                self.status.is_leader = false;
+                self.status.is_established = false;
+                self.publish.send_replace(self.status.clone());
+                return;
+            }
+            self.publish_status();
+        }
+    }
+
+    fn take(&mut self, job: Job) {
+        let now = self.clock.now();
+        match job {
+            Job::Messages { instance, messages } => {
+                for (from, message) in messages {
+                    self.names.insert(from, instance.clone());
+                    self.replica.receive(now, from, message);
+                }
+            }
+            Job::Submit { command, reply } => {
+                let token = self.token();
+                match self.replica.propose(now, token, command) {
+                    Ok(()) => drop(self.pending.insert(token, reply)),
+                    Err(_) => drop(reply.send(Outcome::NotLeader(self.leader_name()))),
+                }
+            }
+            Job::Query { query, reply } => {
+                let token = self.token();
+                match self.replica.read(now, token) {
+                    Ok(()) => {
+                        self.pending.insert(token, reply);
+                        self.queries.insert(token, query);
+                    }
+                    Err(_) => drop(reply.send(Outcome::NotLeader(self.leader_name()))),
+                }
+            }
+            Job::Join { instance, id } => {
+                let plan = Plan::new(&instance, id);
+                self.plans.entry(id).or_insert(plan);
+            }
+            Job::Transfer => self.replica.transfer(now),
+            Job::Dump { reply } => drop(reply.send(self.machine.dump())),
+        }
+    }
+
+    fn token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    fn name_of(&self, id: Id) -> Option<String> {
+        let members = self.replica.members();
+        let member = members.voters.get(&id).or_else(|| members.learners.get(&id));
+        member.or_else(|| self.names.get(&id)).cloned()
+    }
+
+    fn leader_name(&self) -> Option<String> {
+        self.name_of(self.replica.leader()?)
+    }
+
+    fn advance_plans(&mut self) {
+        if !self.replica.is_leader() {
+            self.plans.clear();
+            return;
+        }
+        let (now, replica) = (self.clock.now(), &mut self.replica);
+        self.plans.retain(|_, plan| !plan.next(now, replica));
+    }
+
+    fn work(&mut self) -> Result<(), Storage> {
+        loop {
+            let ready = self.replica.ready();
+            if ready.is_empty() {
+                self.answer_reads()?;
+                return Ok(());
+            }
+            self.handle(ready)?;
+        }
+    }
+
+    fn handle(&mut self, ready: Ready) -> Result<(), Storage> {
+        self.send(ready.early);
+        if let Some((meta, state)) = ready.install {
+            self.install(&meta, &state)?;
+        }
+        let last = ready.entries.last().map(|entry| entry.index);
+        let records =
+            records(ready.hard.map(|hard| (hard.term, hard.vote)), ready.truncate, &ready.entries)?;
+        if !records.is_empty() {
+            self.persist(&records)?;
+        }
+        if let Some(last) = last {
+            self.replica.synced(last);
+        }
+        self.send(ready.late);
+        for (entry, token) in ready.committed {
+            self.apply(entry, token)?;
+        }
+        self.waiting_reads.extend(ready.reads);
+        for token in ready.dropped {
+            self.queries.remove(&token);
+            self.reply(token, Outcome::Unknown);
+        }
+        for peer in ready.wants_snapshot {
+            let meta = self.replica.meta_at(self.applied);
+            self.replica.offer_snapshot(peer, meta, self.machine.export()?);
+        }
+        self.compact_if_large()
+    }
+
+    fn persist(&mut self, records: &[Record]) -> Result<(), Storage> {
+        let before = (Instant::now(), self.log.bytes());
+        self.log.append(records)?;
+        self.status.syncs += 1;
+        self.status.sync_micros += u64::try_from(before.0.elapsed().as_micros()).unwrap_or(0);
+        self.status.bytes_written += self.log.bytes().saturating_sub(before.1);
+        Ok(())
+    }
+
+    fn send(&self, messages: Vec<(Id, Message)>) {
+        for (to, message) in messages {
+            if let Some(name) = self.name_of(to) {
+                let envelope = Envelope { group: self.group, from: self.id, to, message };
+                self.links.send(&name, envelope);
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: Entry, token: Option<u64>) -> Result<(), Storage> {
+        if entry.index <= self.applied {
+            return Ok(());
+        }
+        self.applied = entry.index;
+        let reply = match entry.payload {
+            Payload::Data(command) => self.machine.apply(&command)?,
+            Payload::Empty | Payload::Members(_) => return Ok(()),
+        };
+        if let Some(token) = token {
+            self.reply(token, Outcome::Data(reply));
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, token: u64, outcome: Outcome) {
+        if let Some(reply) = self.pending.remove(&token) {
+            // The asker may have given up; its answer is then not wanted.
+            drop(reply.send(outcome));
+        }
+    }
+
+    fn answer_reads(&mut self) -> Result<(), Storage> {
+        let applied = self.applied;
+        let (due, later): (Vec<_>, Vec<_>) =
+            self.waiting_reads.drain(..).partition(|(_, index)| *index <= applied);
+        self.waiting_reads = later;
+        for (token, _) in due {
+            if let Some(query) = self.queries.remove(&token) {
+                let view = self.machine.query(&query)?;
+                self.reply(token, Outcome::Data(view));
+            }
+        }
+        Ok(())
+    }
+
+    fn install(&mut self, meta: &Meta, state: &[u8]) -> Result<(), Storage> {
+        self.machine.import(state)?;
+        self.applied = meta.index;
+        let saved = self.machine.save()?;
+        self.rewrite(meta, saved)
+    }
+
+    fn compact_if_large(&mut self) -> Result<(), Storage> {
+        if self.log.bytes() < self.compact_bytes || self.applied <= self.replica.base_index() {
+            return Ok(());
+        }
+        let saved = self.machine.save()?;
+        let meta = self.replica.compact(self.applied);
+        self.rewrite(&meta, saved)
+    }
+
+    fn rewrite(&mut self, meta: &Meta, state: Vec<u8>) -> Result<(), Storage> {
+        let hard = self.replica.hard();
+        let snapshot = Record::Snapshot { index: meta.index, meta: machine::encode(meta)?, state };
+        let mut all = vec![snapshot];
+        all.extend(records(Some((hard.term, hard.vote)), None, &self.replica.entries())?);
+        self.log.rewrite(&all)?;
+        self.machine.prune()
+    }
+
+    fn publish_status(&mut self) {
+        let members = self.replica.members();
+        let voters = members.voters.iter().map(|(id, name)| (*id, name.clone(), true));
+        let learners = members.learners.iter().map(|(id, name)| (*id, name.clone(), false));
+        self.status = Status {
+            is_leader: self.replica.is_leader(),
+            is_established: self.replica.is_established(),
+            is_voter: members.is_voter(self.id),
+            term: self.replica.term(),
+            commit: self.replica.commit(),
+            applied: self.applied,
+            last_index: self.replica.last_index(),
+            base_index: self.replica.base_index(),
+            leader: self.leader_name(),
+            members: voters.chain(learners).collect(),
+            ..std::mem::take(&mut self.status)
+        };
+        let status = &self.status;
+        self.publish.send_if_modified(|published| {
+            let is_new = published != status;
+            if is_new {
+                *published = status.clone();
+            }
+            is_new
+        });
+    }
+}
+
+fn records(
+    hard: Option<(u64, Option<Id>)>,
+    truncate: Option<u64>,
+    entries: &[Entry],
+) -> Result<Vec<Record>, Storage> {
+    let mut records = Vec::new();
+    if let Some((term, vote)) = hard {
+        let hard = coordination::consensus::Hard { term, vote };
+        records.push(Record::Meta(machine::encode(&hard)?));
+    }
+    records.extend(truncate.map(Record::Truncate));
+    for entry in entries {
+        records.push(Record::Entry { index: entry.index, body: machine::encode(entry)? });
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/transport/src/storage.rs
@@ -0,0 +1,135 @@
+//! The data folder of one instance.
+//!
+//! One identity covers all journals of the folder. A folder with a damaged journal is
+//! moved aside as a whole, and the instance joins again under a fresh identity.
+
+use coordination::consensus::{Birth, Entry, Hard, Id, Members, Meta, Restored, founder_id};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use state::control::Control;
+use state::error::Storage;
+use state::history::Files;
+use state::journal::{Journal, Recovered};
+use state::machine::{self, Machine};
+use state::program::Shard;
+use std::fs::File;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// Identity of a data folder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Identity {
+    pub(crate) id: Id,
+    /// Members at the first start; none for a folder that joined later.
+    pub(crate) founders: Members,
+}
+
+impl Identity {
+    /// Identity of a folder that starts as `birth` says.
+    pub(crate) fn born(birth: &Birth, instance: &str) -> Option<Self> {
+        match birth {
+            Birth::Wait => None,
+            Birth::Founder(founders) => {
+                Some(Self { id: founder_id(instance), founders: founders.clone() })
+            }
+            Birth::Learner => {
+                let id = rand::rng().next_u64();
+                Some(Self { id, founders: Members::default() })
+            }
+        }
+    }
+}
+
+/// The journals under one folder.
+#[derive(Debug, Clone)]
+pub(crate) struct Folder {
+    path: PathBuf,
+}
+
+/// What one journal's replica starts from.
+pub(crate) struct Opened {
+    pub(crate) log: Journal,
+    pub(crate) machine: Box<dyn Machine>,
+    pub(crate) restored: Restored,
+}
+
+impl Folder {
+    pub(crate) fn open(path: &Path) -> Result<Self, Storage> {
+        std::fs::create_dir_all(path)?;
+        Ok(Self { path: path.to_owned() })
+    }
+
+    pub(crate) fn identity(&self) -> Result<Option<Identity>, Storage> {
+        match std::fs::read(self.path.join("identity")) {
+            Ok(bytes) => Ok(Some(machine::decode(&bytes)?)),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    pub(crate) fn write_identity(&self, identity: &Identity) -> Result<(), Storage> {
+        let temporary = self.path.join("identity.tmp");
+        let mut file = File::create(&temporary)?;
+        file.write_all(&machine::encode(identity)?)?;
+        file.sync_all()?;
+        std::fs::rename(&temporary, self.path.join("identity"))?;
+        File::open(&self.path)?.sync_all()?;
+        Ok(())
+    }
+
+    /// Moves everything into a subfolder for later examination.
+    pub(crate) fn set_aside(&self) -> Result<(), Storage> {
+        let mut number = 0;
+        let mut aside = self.path.join("damaged-0");
+        while aside.exists() {
+            number += 1;
+            aside = self.path.join(format!("damaged-{number}"));
+        }
+        std::fs::create_dir(&aside)?;
+        for entry in std::fs::read_dir(&self.path)? {
+            let entry = entry?;
+            if !entry.file_name().to_string_lossy().starts_with("damaged-") {
+                std::fs::rename(entry.path(), aside.join(entry.file_name()))?;
+            }
+        }
+        File::open(&self.path)?.sync_all()?;
+        Ok(())
+    }
+
+    /// Opens the journal `group`; 0 is the control journal.
+    pub(crate) fn open_group(&self, group: u32) -> Result<Opened, Storage> {
+        let folder = self.path.join(format!("group-{group}"));
+        let (log, recovered) = Journal::open(&folder)?;
+        let mut machine = new_machine(group, &folder)?;
+        let restored = restore(recovered, machine.as_mut())?;
+        Ok(Opened { log, machine, restored })
+    }
+}
+
+fn new_machine(group: u32, folder: &Path) -> Result<Box<dyn Machine>, Storage> {
+    if group == protocol::wire::CONTROL {
+        return Ok(Box::new(Control::default()));
+    }
+    let history = Files::open(&folder.join("history"))?;
+    Ok(Box::new(Shard::new(Box::new(history))))
+}
+
+fn restore(recovered: Recovered, machine: &mut dyn Machine) -> Result<Restored, Storage> {
+    let hard = match &recovered.meta {
+        Some(meta) => machine::decode::<Hard>(meta)?,
+        None => Hard::default(),
+    };
+    let snapshot = match &recovered.snapshot {
+        Some((_, meta, state)) => {
+            machine.load(state)?;
+            machine::decode::<Meta>(meta)?
+        }
+        None => {
+            machine.reset()?;
+            Meta::default()
+        }
+    };
+    let entries: Result<Vec<Entry>, Storage> =
+        recovered.entries.iter().map(|(_, body)| machine::decode(body)).collect();
+    Ok(Restored { hard, snapshot, entries: entries? })
+}
