--- a/crates/coordination/src/consensus/follower.rs
+++ b/crates/coordination/src/consensus/follower.rs
@@ -87,7 +87,12 @@
         if !self.follow(from, term) {
             return;
         }
+        if self.log.term(meta.index) == Some(meta.term) {
+            // Entries after the snapshot were acknowledged and must stay.
+            self.commit = self.commit.max(meta.index);
+        }
         if meta.index <= self.commit {
+            self.incoming = None;
             self.reply_append(from, true, self.commit, 0);
             return;
         }
--- a/crates/coordination/src/entry/call.rs
+++ b/crates/coordination/src/entry/call.rs
@@ -138,6 +138,8 @@
 #[derive(Debug)]
 pub(crate) struct Cached {
     pub(crate) labels: Vec<String>,
+    /// When it was opened, in milliseconds since the Unix epoch.
+    pub(crate) opened_ms: u64,
     /// End of its time, in milliseconds since the Unix epoch.
     pub(crate) deadline_ms: u64,
     pub(crate) next_seq: u64,
--- a/crates/coordination/src/entry/flow.rs
+++ b/crates/coordination/src/entry/flow.rs
@@ -11,7 +11,7 @@
 use state::control::Role;
 use state::error::{Kind, Ran};
 use state::id;
-use state::program::{Begin, Command, End, Reply, Takeover, Verdict};
+use state::program::{Begin, Command, End, Reply, Summary, Takeover, Verdict};
 use std::sync::Arc;
 
 /// Tokens that an engine may generate between the limit and the arrival of the cancel.
@@ -50,7 +50,7 @@
     pub(crate) fn on_loaded(
         &mut self,
         op: u64,
-        result: Result<Result<Loaded, Reply>, Unreachable>,
+        result: Result<Result<Box<Loaded>, Reply>, Unreachable>,
     ) {
         let Some(call) = self.ops.remove(&op) else {
             return;
@@ -61,7 +61,7 @@
         match result {
             Err(Unreachable) => self.wait(&call, self.settings.journal_retry_ms),
             Ok(Err(reply)) => self.on_decided(&call, reply),
-            Ok(Ok(loaded)) => self.on_program(&call, loaded),
+            Ok(Ok(loaded)) => self.on_program(&call, *loaded),
         }
     }
 
@@ -72,7 +72,12 @@
             self.finish_refused(call, Kind::Closed, "the program has ended");
             return;
         }
-        let cached = Arc::new(self.extend_history(&call.program, loaded));
+        let Some(history) = self.extend_history(&call.program, &loaded) else {
+            self.forget(&call.program);
+            self.load(call);
+            return;
+        };
+        let cached = Arc::new(to_cached(loaded.summary, history));
         self.remember(&call.program, cached.clone());
         if call.seq > next_seq {
             self.wait_for_predecessor(call, next_seq);
@@ -97,19 +102,22 @@
         self.finish(call, refused(call, Kind::OutOfOrder, Ran::No, &detail));
     }
 
-    fn extend_history(&self, program: &id::Program, loaded: Loaded) -> Cached {
-        let known = self.programs.get(program).map(|cached| cached.history.clone());
-        let mut history = known.map_or_else(Vec::new, |known| known.as_ref().clone());
-        history.extend(loaded.history);
-        let bytes = history.iter().map(|item| item.len() as u64).sum();
-        Cached {
-            labels: loaded.summary.labels,
-            deadline_ms: loaded.summary.deadline_ms,
-            next_seq: loaded.summary.next_seq,
-            attained_tokens: loaded.summary.budget.spent.tokens,
-            history: Arc::new(history),
-            bytes,
-        }
+    /// Joins what was known when the load was asked for with what came.
+    ///
+    /// The cache may have changed since; it only ever grows or is dropped whole, so the
+    /// known items are still its first ones. `None` if it was dropped or is of an earlier
+    /// program with the same name.
+    fn extend_history(&self, program: &id::Program, loaded: &Loaded) -> Option<Vec<Vec<u8>>> {
+        let mut history = match loaded.known {
+            0 => Vec::new(),
+            known => {
+                let cached = self.programs.get(program)?;
+                let is_same = cached.opened_ms == loaded.summary.opened_ms;
+                cached.history.get(..known).filter(|_| is_same)?.to_vec()
+            }
+        };
+        history.extend_from_slice(&loaded.history);
+        Some(history)
     }
 
     fn remember(&mut self, program: &id::Program, cached: Arc<Cached>) {
@@ -152,6 +160,7 @@
         let cap = config.deployments.get(&call.program.deployment).map(|d| d.cap);
         let begin = Begin {
             attempt: id::Attempt { call: call.clone(), number: active.attempt + 1 },
+            opened_ms: active.program.as_ref().map_or(0, |program| program.opened_ms),
             digest: active.digest,
             holder: holder.clone(),
             service: active.request.service.clone(),
@@ -435,6 +444,7 @@
         let bytes = history.iter().map(|item| item.len() as u64).sum();
         let cached = Cached {
             labels: known.labels.clone(),
+            opened_ms: known.opened_ms,
             deadline_ms: known.deadline_ms,
             next_seq: call.seq + 1,
             attained_tokens: known.attained_tokens + spent.tokens,
@@ -709,6 +719,18 @@
     }
 }
 
+fn to_cached(summary: Summary, history: Vec<Vec<u8>>) -> Cached {
+    Cached {
+        labels: summary.labels,
+        opened_ms: summary.opened_ms,
+        deadline_ms: summary.deadline_ms,
+        next_seq: summary.next_seq,
+        attained_tokens: summary.budget.spent.tokens,
+        bytes: history.iter().map(|item| item.len() as u64).sum(),
+        history: Arc::new(history),
+    }
+}
+
 /// The most that an attempt can draw.
 fn reservation(active: &Active, role: Role, prompt_tokens: u64) -> Amount {
     let tokens = match role {
--- a/crates/coordination/src/entry/input.rs
+++ b/crates/coordination/src/entry/input.rs
@@ -158,7 +158,9 @@
 pub struct Loaded {
     /// The program.
     pub summary: Summary,
-    /// History items after the ones that the entry had.
+    /// History items that the entry had when it asked.
+    pub known: usize,
+    /// History items after those.
     pub history: Vec<Vec<u8>>,
 }
 
@@ -176,7 +178,7 @@
         /// The operation.
         op: u64,
         /// The program, or a settled reply of the call.
-        result: Result<Result<Loaded, program::Reply>, Unreachable>,
+        result: Result<Result<Box<Loaded>, program::Reply>, Unreachable>,
     },
     /// The journal answered operation `op`.
     Submitted {
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -79,12 +79,14 @@
     settings: Settings,
     since: Millis,
     seen: Map<Holder, Seen>,
+    /// When each life without a grant was first met.
+    met: Map<Holder, Millis>,
 }
 
 impl Registry {
     /// Starts with a new control leader, which knows of no grant made before `now`.
     pub fn new(settings: Settings, now: Millis) -> Self {
-        Self { settings, since: now, seen: Map::default() }
+        Self { settings, since: now, seen: Map::default(), met: Map::default() }
     }
 
     /// Grants or extends a lease along with the newest snapshot.
@@ -108,8 +110,22 @@
     }
 
     /// Lives whose lease is over but which the journal does not show as expired.
-    pub fn overdue(&self, now: Millis, snapshot: &Snapshot) -> Vec<Holder> {
-        holders(snapshot).filter(|holder| self.is_over(now, holder)).collect()
+    ///
+    /// A life that has just registered gets the time of one lease for its first renewal.
+    pub fn overdue(&mut self, now: Millis, snapshot: &Snapshot) -> Vec<Holder> {
+        let patience = self.settings.length_ms + self.settings.margin_ms;
+        self.met.retain(|holder, _| snapshot.is_current(holder));
+        self.seen.retain(|holder, _| snapshot.is_current(holder));
+        let mut overdue = Vec::new();
+        for holder in holders(snapshot) {
+            let met = *self.met.entry(holder.clone()).or_insert(now);
+            let was_given_back = self.seen.get(&holder).is_some_and(|seen| seen.until == 0);
+            let had_time = now >= met + patience || was_given_back;
+            if had_time && self.is_over(now, &holder) {
+                overdue.push(holder);
+            }
+        }
+        overdue
     }
 
     /// Highest version that each instance that may dispatch obeys.
--- /dev/null
+++ b/crates/coordination/tests/consensus.rs
@@ -0,0 +1,1 @@
+//! Tests of the replicated journal.
--- /dev/null
+++ b/crates/coordination/tests/faults/mod.rs
@@ -0,0 +1,3 @@
+//! The fault matrix over the deterministic core.
+
+mod calls;
--- /dev/null
+++ b/crates/coordination/tests/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the coordination layer.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
+
+mod consensus;
+mod faults;
+mod lease;
+mod policy;
+mod retry;
+mod routing;
+mod util;
--- /dev/null
+++ b/crates/coordination/tests/util/callers.rs
@@ -0,0 +1,109 @@
+//! Callers that play programs and keep records of their own.
+
+use coordination::Millis;
+use coordination::entry::Answer;
+use state::error::{Kind, Ran};
+
+/// One step of a program.
+#[derive(Debug, Clone)]
+pub(crate) struct Step {
+    pub(crate) service: &'static str,
+    pub(crate) content: String,
+    pub(crate) is_idempotent: bool,
+}
+
+impl Step {
+    pub(crate) fn model(content: &str) -> Self {
+        Self { service: "model", content: content.into(), is_idempotent: true }
+    }
+
+    pub(crate) fn tool(content: &str) -> Self {
+        Self { service: "tool", content: content.into(), is_idempotent: false }
+    }
+}
+
+/// How a call ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Done {
+    pub(crate) ran: Ran,
+    pub(crate) kind: Option<Kind>,
+    pub(crate) content: Vec<u8>,
+}
+
+/// A program under way, with the caller's record.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub(crate) program: state::id::Program,
+    pub(crate) steps: Vec<Step>,
+    pub(crate) budget_tokens: u64,
+    pub(crate) done: Vec<Done>,
+    /// History as the caller knows it.
+    pub(crate) transcript: Vec<Vec<u8>>,
+    pub(crate) is_open: bool,
+    pub(crate) is_closed: bool,
+    pub(crate) resend_at: Millis,
+    pub(crate) start_at: Millis,
+    pub(crate) entry: usize,
+    /// Whether every request is sent through two entries at once.
+    pub(crate) sends_twice: bool,
+    pub(crate) mixed: u32,
+}
+
+impl Caller {
+    pub(crate) fn new(name: &str, entry: usize, steps: Vec<Step>) -> Self {
+        Self {
+            program: state::id::Program::new("dep", name),
+            steps,
+            budget_tokens: 100_000,
+            done: Vec::new(),
+            transcript: Vec::new(),
+            is_open: false,
+            is_closed: false,
+            resend_at: 0,
+            start_at: 0,
+            entry,
+            sends_twice: false,
+            mixed: 0,
+        }
+    }
+
+    /// Sequence number of the call under way.
+    pub(crate) fn seq(&self) -> u64 {
+        self.done.len() as u64 + 1
+    }
+
+    pub(crate) fn step(&self) -> Option<&Step> {
+        self.steps.get(self.done.len())
+    }
+
+    /// Takes an answer; `false` if it is not of the call under way or not final.
+    pub(crate) fn take(&mut self, answer: &Answer) -> bool {
+        if answer.call.program != self.program {
+            self.mixed += 1;
+            return false;
+        }
+        let kind = answer.error.as_ref().map(|refusal| refusal.kind);
+        let is_passing = matches!(
+            kind,
+            Some(Kind::Unavailable | Kind::Busy | Kind::OutOfOrder | Kind::Stopping)
+        );
+        if answer.call.seq != self.seq() || is_passing {
+            return false;
+        }
+        let Some(step) = self.step().cloned() else {
+            return false;
+        };
+        if answer.error.is_none() {
+            if step.service == "model"
+                && answer.content
+                    != super::backends::answer_of(&self.transcript, step.content.as_bytes())
+            {
+                self.mixed += 1;
+            }
+            self.transcript.push(step.content.into_bytes());
+            self.transcript.push(answer.content.clone());
+        }
+        self.done.push(Done { ran: answer.ran, kind, content: answer.content.clone() });
+        true
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/util/host.rs
@@ -0,0 +1,312 @@
+//! One host: an entry and, with a disk, a replica of both journals.
+
+use coordination::Millis;
+use coordination::consensus::{
+    Birth, Entry as LogEntry, Hard, Id, Members, Message, Meta, Payload, Peer, Plan, Replica,
+    Restored, Settings as Consensus,
+};
+use coordination::entry::{self, Entry};
+use coordination::lease::{self, Registry};
+use state::collections::Map;
+use state::control::Control;
+use state::history::Memory;
+use state::journal::{Record, Recovered};
+use state::machine::{self, Machine};
+use state::program::Shard;
+
+pub(crate) const CONTROL: usize = 0;
+pub(crate) const SHARD: usize = 1;
+
+/// Log size at which a journal is compacted, in entries.
+const COMPACT_ENTRIES: u64 = 60;
+
+/// What a request to a journal's leader asks.
+#[derive(Debug, Clone)]
+pub(crate) enum Ask {
+    Submit(Vec<u8>),
+    Query(Vec<u8>),
+    Renew { holder: state::id::Holder, version: u64 },
+}
+
+/// A request that waits for the journal: host and number of the asker.
+pub(crate) type Asker = (usize, u64);
+
+/// Reply of a journal.
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    Data(Vec<u8>),
+    NotLeader,
+    Granted { snapshot: Box<state::control::Snapshot>, in_force: u64 },
+    Expelled,
+}
+
+/// A replica with its disk in memory.
+pub(crate) struct Group {
+    pub(crate) id: Id,
+    pub(crate) replica: Replica,
+    pub(crate) machine: Box<dyn Machine>,
+    pub(crate) disk: Recovered,
+    pub(crate) applied: u64,
+    pub(crate) fails_sync: bool,
+    pub(crate) is_stopped: bool,
+    pub(crate) syncs: u64,
+    plans: Vec<Plan>,
+    pending: Map<u64, (Asker, Ask)>,
+    reads: Vec<(u64, u64)>,
+    next_token: u64,
+}
+
+/// What a group wants to send.
+#[derive(Default)]
+pub(crate) struct Outbox {
+    pub(crate) messages: Vec<(Id, Message)>,
+    pub(crate) replies: Vec<(Asker, Ask, Option<Vec<u8>>)>,
+}
+
+fn new_machine(number: usize) -> Box<dyn Machine> {
+    match number {
+        CONTROL => Box::new(Control::default()),
+        _ => Box::new(Shard::new(Box::new(Memory::default()))),
+    }
+}
+
+impl Group {
+    /// Starts a replica from its disk.
+    pub(crate) fn start(
+        number: usize,
+        id: Id,
+        founders: &Members,
+        disk: Recovered,
+        now: Millis,
+        seed: u64,
+    ) -> Self {
+        let mut machine = new_machine(number);
+        let hard = disk.meta.as_ref().map_or(Hard::default(), |m| machine::decode(m).unwrap());
+        let mut snapshot = Meta::default();
+        if let Some((_, meta, state)) = &disk.snapshot {
+            snapshot = machine::decode(meta).unwrap();
+            machine.import(state).unwrap();
+        }
+        let entries: Vec<LogEntry> =
+            disk.entries.iter().map(|(_, body)| machine::decode(body).unwrap()).collect();
+        let applied = snapshot.index;
+        let restored = Restored { hard, snapshot, entries };
+        let settings = Consensus { election_ms: 200, heartbeat_ms: 40, ..Consensus::default() };
+        let replica = Replica::new(id, settings, seed, now, restored, founders);
+        Self {
+            id,
+            replica,
+            machine,
+            disk,
+            applied,
+            fails_sync: false,
+            is_stopped: false,
+            syncs: 0,
+            plans: Vec::new(),
+            pending: Map::default(),
+            reads: Vec::new(),
+            next_token: 0,
+        }
+    }
+
+    pub(crate) fn ask(&mut self, now: Millis, asker: Asker, ask: Ask, out: &mut Outbox) {
+        self.next_token += 1;
+        let token = self.next_token;
+        let result = match &ask {
+            Ask::Submit(data) => self.replica.propose(now, token, data.clone()),
+            Ask::Query(_) | Ask::Renew { .. } => self.replica.read(now, token),
+        };
+        match result {
+            Ok(()) => drop(self.pending.insert(token, (asker, ask))),
+            Err(_) => out.replies.push((asker, ask, None)),
+        }
+    }
+
+    pub(crate) fn join(&mut self, instance: &str, id: Id) {
+        if self.replica.is_leader() && !self.plans.iter().any(|plan| plan.id == id) {
+            self.plans.push(Plan::new(instance, id));
+        }
+    }
+
+    /// Performs everything that is ready.
+    pub(crate) fn work(&mut self, now: Millis, out: &mut Outbox) {
+        let replica = &mut self.replica;
+        self.plans.retain_mut(|plan| replica.is_leader() && !plan.next(now, replica));
+        while !self.is_stopped {
+            let ready = self.replica.ready();
+            if ready.is_empty() {
+                break;
+            }
+            out.messages.extend(ready.early);
+            if let Some((meta, state)) = ready.install {
+                self.machine.import(&state).unwrap();
+                self.applied = meta.index;
+                self.snapshot(&meta, state);
+            }
+            let last = ready.entries.last().map(|entry| entry.index);
+            self.persist(ready.hard, ready.truncate, &ready.entries);
+            if self.is_stopped {
+                return;
+            }
+            if let Some(last) = last {
+                self.replica.synced(last);
+            }
+            out.messages.extend(ready.late);
+            for (entry, token) in ready.committed {
+                self.apply(entry, token, out);
+            }
+            self.reads.extend(ready.reads);
+            for token in ready.dropped {
+                self.pending.remove(&token);
+            }
+            for peer in ready.wants_snapshot {
+                let meta = self.replica.meta_at(self.applied);
+                self.replica.offer_snapshot(peer, meta, self.machine.export().unwrap());
+            }
+            self.compact();
+        }
+        self.answer_reads(out);
+    }
+
+    fn persist(&mut self, hard: Option<Hard>, truncate: Option<u64>, entries: &[LogEntry]) {
+        if hard.is_none() && truncate.is_none() && entries.is_empty() {
+            return;
+        }
+        if self.fails_sync {
+            self.is_stopped = true;
+            return;
+        }
+        self.syncs += 1;
+        if let Some(hard) = hard {
+            self.disk.replay(Record::Meta(machine::encode(&hard).unwrap()));
+        }
+        if let Some(from) = truncate {
+            self.disk.replay(Record::Truncate(from));
+        }
+        for entry in entries {
+            let body = machine::encode(entry).unwrap();
+            self.disk.replay(Record::Entry { index: entry.index, body });
+        }
+    }
+
+    fn apply(&mut self, entry: LogEntry, token: Option<u64>, out: &mut Outbox) {
+        if entry.index <= self.applied {
+            return;
+        }
+        self.applied = entry.index;
+        let Payload::Data(data) = entry.payload else {
+            return;
+        };
+        let reply = self.machine.apply(&data).unwrap();
+        if let Some((asker, ask)) = token.and_then(|token| self.pending.remove(&token)) {
+            out.replies.push((asker, ask, Some(reply)));
+        }
+    }
+
+    fn answer_reads(&mut self, out: &mut Outbox) {
+        let applied = self.applied;
+        for (token, _) in self.reads.extract_if(.., |(_, index)| *index <= applied) {
+            let Some((asker, ask)) = self.pending.remove(&token) else {
+                continue;
+            };
+            let view = match &ask {
+                Ask::Query(query) => self.machine.query(query).unwrap(),
+                _ => Vec::new(),
+            };
+            out.replies.push((asker, ask, Some(view)));
+        }
+    }
+
+    fn snapshot(&mut self, meta: &Meta, state: Vec<u8>) {
+        let entries = self.replica.entries();
+        let hard = self.replica.hard();
+        self.disk = Recovered::default();
+        let meta_bytes = machine::encode(meta).unwrap();
+        self.disk.replay(Record::Snapshot { index: meta.index, meta: meta_bytes, state });
+        self.persist(Some(hard), None, &entries);
+    }
+
+    fn compact(&mut self) {
+        if self.applied < self.replica.base_index() + COMPACT_ENTRIES {
+            return;
+        }
+        let meta = self.replica.compact(self.applied);
+        let state = self.machine.export().unwrap();
+        self.snapshot(&meta, state);
+    }
+}
+
+/// One instance.
+pub(crate) struct Host {
+    pub(crate) name: String,
+    pub(crate) is_alive: bool,
+    pub(crate) frozen_until: Millis,
+    /// Number of its process; events for an earlier one are dropped.
+    pub(crate) boot: u32,
+    pub(crate) entry: Entry,
+    pub(crate) holder: Option<state::id::Holder>,
+    pub(crate) renew_due: Millis,
+    pub(crate) is_renewing: bool,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) has_disk: bool,
+    pub(crate) founders: Members,
+    pub(crate) id: Id,
+    pub(crate) registry: Option<(u64, Registry)>,
+}
+
+pub(crate) const LEASE: lease::Settings =
+    lease::Settings { length_ms: 1_000, renew_ms: 200, margin_ms: 100 };
+
+pub(crate) fn new_entry(seed: u64) -> Entry {
+    let settings =
+        entry::Settings { queue_wait_ms: 20_000, attempts_limit: 30, ..entry::Settings::default() };
+    Entry::new(settings, 0, seed)
+}
+
+impl Host {
+    /// Whether the control journal is led here, with the leader's view of the leases.
+    pub(crate) fn registry(&mut self, now: Millis) -> Option<&mut Registry> {
+        let control = self.groups.get(CONTROL)?;
+        if control.is_stopped || !control.replica.is_established() {
+            self.registry = None;
+            return None;
+        }
+        let term = control.replica.term();
+        if self.registry.as_ref().is_none_or(|(of, _)| *of != term) {
+            self.registry = Some((term, Registry::new(LEASE, now)));
+        }
+        self.registry.as_mut().map(|(_, registry)| registry)
+    }
+
+    /// Starts the replicas from their disks; a wiped disk starts under a fresh identity.
+    pub(crate) fn start_groups(
+        &mut self,
+        disks: Vec<Recovered>,
+        peers: &[Peer],
+        configured: &[String],
+        now: Millis,
+        seed: u64,
+    ) {
+        let is_wiped = disks.is_empty();
+        if is_wiped {
+            match Birth::decide(&self.name, configured, peers) {
+                Birth::Founder(members) => {
+                    self.id = coordination::consensus::founder_id(&self.name);
+                    self.founders = members;
+                }
+                Birth::Learner => {
+                    self.id = seed | 1 << 63;
+                    self.founders = Members::default();
+                }
+                Birth::Wait => return,
+            }
+        }
+        let mut disks = disks.into_iter();
+        self.groups = (CONTROL..=SHARD)
+            .map(|number| {
+                let disk = disks.next().unwrap_or_default();
+                Group::start(number, self.id, &self.founders, disk, now, seed + number as u64)
+            })
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/util/mod.rs
@@ -0,0 +1,12 @@
+//! A small world for failure tests: hosts, a network and a clock in memory.
+
+mod backends;
+mod callers;
+mod checks;
+mod host;
+mod world;
+
+pub(crate) use callers::{Caller, Step};
+pub(crate) use checks::verify;
+pub(crate) use host::SHARD;
+pub(crate) use world::{World, seeds};
--- /dev/null
+++ b/crates/coordination/tests/util/world.rs
@@ -0,0 +1,984 @@
+//! The clock, the network and the order of events.
+
+use super::backends::{Backend, Execution, HANG, LOSE, POISON, answer_of, contains};
+use super::callers::Caller;
+use super::host::{Ask, CONTROL, Group, Host, LEASE, Outbox, Reply, SHARD, new_entry};
+use coordination::Millis;
+use coordination::consensus::{Id, Members, Message, Peer};
+use coordination::entry::{self, Dispatch, Failure, Input, Load, Output, Request};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use state::budget::Amount;
+use state::collections::{Map, Set};
+use state::control::{self, Command, Config, Deployment, Role, Server, Service, Weights};
+use state::journal::Recovered;
+use state::{id, machine, program};
+use std::collections::BTreeMap;
+
+const TICK_MS: Millis = 10;
+const ASK_TIMEOUT_MS: Millis = 250;
+const ASK_PATIENCE_MS: Millis = 1_500;
+const RESEND_MS: Millis = 1_500;
+const NEVER: Millis = Millis::MAX;
+
+/// Seeds of a test: `SEEDS=A..B` or the given ones; printed by each failure.
+pub(crate) fn seeds(first: u64, count: u64) -> std::ops::Range<u64> {
+    let from_environment = std::env::var("SEEDS").ok().and_then(|text| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    });
+    from_environment.unwrap_or(first..first + count)
+}
+
+enum Event {
+    Tick,
+    Consensus { group: usize, from: Id, to_host: usize, to: Id, message: Message },
+    Ask { group: usize, to_host: usize, asker: (usize, u64), ask: Ask },
+    Reply { to_host: usize, ask: u64, reply: Reply },
+    Input { host: usize, boot: u32, input: Box<Input> },
+    Work { server: String, host: usize, boot: u32, dispatch: Box<Dispatch>, part: u32, life: u64 },
+    Call { host: usize, caller: usize },
+    Answer { caller: usize, answer: entry::Answer },
+}
+
+enum Purpose {
+    Submit(u64),
+    Load(u64, usize),
+    Control(u64),
+    Renew { sent: Millis },
+    Register,
+    Open(usize),
+    Close(usize),
+    Ticket(u64),
+    Nothing,
+}
+
+struct Asking {
+    host: usize,
+    boot: u32,
+    group: usize,
+    ask: Ask,
+    purpose: Purpose,
+    target: usize,
+    tried_at: Millis,
+    since: Millis,
+}
+
+/// Everything.
+pub(crate) struct World {
+    pub(crate) now: Millis,
+    pub(crate) rng: StdRng,
+    queue: BTreeMap<(Millis, u64), Event>,
+    sequence: u64,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) backends: BTreeMap<String, Backend>,
+    pub(crate) ledger: Vec<Execution>,
+    pub(crate) callers: Vec<Caller>,
+    /// Directed pairs of hosts that cannot talk.
+    pub(crate) cut: Set<(usize, usize)>,
+    /// Whether messages are sometimes doubled.
+    pub(crate) doubles: bool,
+    /// Moments at which a ticket was reported in force, and what it forbids.
+    pub(crate) in_force: Vec<(Millis, String)>,
+    pub(crate) ticket_replies: Vec<(u64, control::Reply)>,
+    pub(crate) releases_fail: bool,
+    pub(crate) trace: Vec<String>,
+    asking: BTreeMap<u64, Asking>,
+    next_ask: u64,
+    waiters: Map<(usize, u32, u64), usize>,
+    next_token: u64,
+}
+
+/// Servers and rules of the small world.
+pub(crate) fn config() -> Config {
+    let server = |service: &str, domain: &str| Server {
+        service: service.into(),
+        address: "127.0.0.1:1".into(),
+        failure_domain: domain.into(),
+        slots: 4,
+        checks_fencing: true,
+    };
+    let service = |role, can_look_up| Service {
+        role,
+        version: String::new(),
+        is_urgent: false,
+        can_look_up,
+        timeout_ms: 1_000,
+        prompt_bytes_per_token: 1,
+    };
+    let servers: BTreeMap<String, Server> = [
+        ("m1".into(), server("model", "a")),
+        ("m2".into(), server("model", "b")),
+        ("m3".into(), server("model", "c")),
+        ("t1".into(), server("tool", "a")),
+        ("t2".into(), server("tool", "b")),
+    ]
+    .into();
+    let deployment = Deployment {
+        servers: servers.keys().cloned().collect(),
+        failure_domains: ["a", "b", "c"].map(String::from).to_vec(),
+        labels: BTreeMap::new(),
+        cap: Amount { tokens: 1_000_000, calls: 1_000, cost: 1_000_000 },
+        weights: Weights { latency: 1, cache: 1 },
+    };
+    Config {
+        deployments: [("dep".to_owned(), deployment)].into(),
+        services: [
+            ("model".to_owned(), service(Role::Engine, false)),
+            ("tool".to_owned(), service(Role::Tool, false)),
+        ]
+        .into(),
+        servers,
+    }
+}
+
+impl World {
+    /// Five hosts, the first three with disks, before three engines and two tools.
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut world = Self {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            hosts: Vec::new(),
+            backends: BTreeMap::new(),
+            ledger: Vec::new(),
+            callers: Vec::new(),
+            cut: Set::default(),
+            doubles: false,
+            in_force: Vec::new(),
+            ticket_replies: Vec::new(),
+            releases_fail: false,
+            trace: Vec::new(),
+            asking: BTreeMap::new(),
+            next_ask: 0,
+            waiters: Map::default(),
+            next_token: 0,
+        };
+        for at in 0..5 {
+            let seed = world.rng.random();
+            world.hosts.push(Host {
+                name: format!("h{at}"),
+                is_alive: true,
+                frozen_until: 0,
+                boot: 0,
+                entry: new_entry(seed),
+                holder: None,
+                renew_due: 0,
+                is_renewing: false,
+                groups: Vec::new(),
+                has_disk: at < 3,
+                founders: Members::default(),
+                id: 0,
+                registry: None,
+            });
+        }
+        for at in 0..3 {
+            world.start_groups(at, Vec::new());
+        }
+        for name in config().servers.into_keys() {
+            world.backends.insert(name, Backend { incarnation: 1, ..Backend::default() });
+        }
+        let seed = machine::encode(&Command::Seed(config())).unwrap();
+        world.ask(4, CONTROL, Ask::Submit(seed), Purpose::Nothing);
+        world.push(TICK_MS, Event::Tick);
+        world.run_until(3_000, |world| world.hosts.iter().all(|h| h.entry.version() > 5));
+        world
+    }
+
+    fn note(&mut self, text: String) {
+        self.trace.push(format!("{:>7} {text}", self.now));
+    }
+
+    fn push(&mut self, delay: Millis, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), event);
+    }
+
+    fn latency(&mut self) -> Millis {
+        self.rng.random_range(1..=3)
+    }
+
+    fn can_talk(&self, from: usize, to: usize) -> bool {
+        from == to || !self.cut.contains(&(from, to))
+    }
+
+    fn is_up(&self, host: usize) -> bool {
+        self.hosts[host].is_alive
+    }
+
+    /// Runs until `done` holds or the time is over; `true` if it held.
+    pub(crate) fn run_until(&mut self, limit: Millis, done: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + limit;
+        while !done(self) {
+            let Some(((at, _), event)) = self.queue.pop_first() else {
+                return false;
+            };
+            self.now = at;
+            if at > end {
+                self.push(0, event);
+                return done(self);
+            }
+            self.handle(event);
+        }
+        true
+    }
+
+    pub(crate) fn run_for(&mut self, time: Millis) {
+        self.run_until(time, |_| false);
+    }
+
+    /// Puts an event for a frozen host off until it thaws; drops one for a dead host.
+    fn reaches(&mut self, host: usize, event: Event) -> Option<Event> {
+        if !self.is_up(host) {
+            return None;
+        }
+        let frozen_until = self.hosts[host].frozen_until;
+        if frozen_until > self.now {
+            let delay = frozen_until - self.now;
+            self.push(delay, event);
+            return None;
+        }
+        Some(event)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let host = match &event {
+            Event::Consensus { to_host, .. }
+            | Event::Ask { to_host, .. }
+            | Event::Reply { to_host, .. } => Some(*to_host),
+            Event::Input { host, .. } | Event::Call { host, .. } => Some(*host),
+            Event::Tick | Event::Work { .. } | Event::Answer { .. } => None,
+        };
+        let event = match host {
+            Some(host) => match self.reaches(host, event) {
+                Some(event) => event,
+                None => return,
+            },
+            None => event,
+        };
+        match event {
+            Event::Tick => self.tick(),
+            Event::Consensus { group, from, to_host, to, message } => {
+                let now = self.now;
+                let groups = &mut self.hosts[to_host].groups;
+                if let Some(state) = groups.get_mut(group).filter(|g| g.id == to && !g.is_stopped) {
+                    state.replica.receive(now, from, message);
+                    self.work(to_host, group);
+                }
+            }
+            Event::Ask { group, to_host, asker, ask } => self.on_ask(group, to_host, asker, ask),
+            Event::Reply { to_host, ask, reply } => self.on_reply(to_host, ask, reply),
+            Event::Input { host, boot, input } if self.hosts[host].boot == boot => {
+                self.input(host, *input)
+            }
+            Event::Input { .. } => {}
+            Event::Work { server, host, boot, dispatch, part, life } => {
+                self.on_work(&server, host, boot, &dispatch, part, life);
+            }
+            Event::Call { host, caller } => self.on_call(host, caller),
+            Event::Answer { caller, answer } => {
+                if self.callers[caller].take(&answer) {
+                    let (call, ran, kind) =
+                        (&answer.call, answer.ran, answer.error.as_ref().map(|e| e.kind));
+                    let text = format!("caller has {call} {ran:?} {kind:?}");
+                    self.note(text);
+                    self.callers[caller].resend_at = self.now;
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.push(TICK_MS, Event::Tick);
+        for host in 0..self.hosts.len() {
+            if !self.is_up(host) || self.hosts[host].frozen_until > self.now {
+                continue;
+            }
+            let now = self.now;
+            for group in 0..self.hosts[host].groups.len() {
+                self.hosts[host].groups[group].replica.tick(now);
+                self.work(host, group);
+            }
+            self.lead(host);
+            self.join(host);
+            self.report(host);
+            self.input(host, Input::Tick);
+            self.renew(host);
+        }
+        self.retry_asks();
+        (0..self.callers.len()).for_each(|caller| self.drive(caller));
+    }
+
+    fn work(&mut self, host: usize, group: usize) {
+        let mut out = Outbox::default();
+        let (now, state) = (self.now, &mut self.hosts[host].groups[group]);
+        state.work(now, &mut out);
+        let from = state.id;
+        self.send_out(host, group, from, out);
+    }
+
+    fn send_out(&mut self, host: usize, group: usize, from: Id, out: Outbox) {
+        for (to, message) in out.messages {
+            let found =
+                self.hosts.iter().position(|h| h.groups.get(group).is_some_and(|g| g.id == to));
+            let Some(to_host) = found.filter(|to_host| self.can_talk(host, *to_host)) else {
+                continue;
+            };
+            let copies = if self.doubles && self.rng.random_bool(0.1) { 2 } else { 1 };
+            for _ in 0..copies {
+                let delay = self.latency();
+                self.push(
+                    delay,
+                    Event::Consensus { group, from, to_host, to, message: message.clone() },
+                );
+            }
+        }
+        for (asker, ask, data) in out.replies {
+            let reply = self.reply_of(host, &ask, data);
+            self.send_reply(host, asker, reply);
+        }
+    }
+
+    fn reply_of(&mut self, host: usize, ask: &Ask, data: Option<Vec<u8>>) -> Reply {
+        let (Ask::Renew { holder, version }, Some(_)) = (ask, &data) else {
+            return data.map_or(Reply::NotLeader, Reply::Data);
+        };
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        let view = state.groups[CONTROL]
+            .machine
+            .query(&machine::encode(&control::Query::Snapshot).unwrap());
+        let Ok(control::View::Snapshot(snapshot)) = machine::decode(&view.unwrap()) else {
+            return Reply::NotLeader;
+        };
+        if !snapshot.is_current(holder) {
+            return Reply::Expelled;
+        }
+        let Some(registry) = state.registry(now) else {
+            return Reply::NotLeader;
+        };
+        registry.grant(now, holder, *version);
+        let in_force = registry.in_force(now, &snapshot);
+        Reply::Granted { snapshot, in_force }
+    }
+
+    fn send_reply(&mut self, host: usize, (to_host, ask): (usize, u64), reply: Reply) {
+        if self.can_talk(host, to_host) {
+            let delay = self.latency();
+            self.push(delay, Event::Reply { to_host, ask, reply });
+        }
+    }
+
+    fn on_ask(&mut self, group: usize, host: usize, asker: (usize, u64), ask: Ask) {
+        let now = self.now;
+        let Some(state) = self.hosts[host].groups.get_mut(group).filter(|g| !g.is_stopped) else {
+            self.send_reply(host, asker, Reply::NotLeader);
+            return;
+        };
+        let (mut out, from) = (Outbox::default(), state.id);
+        state.ask(now, asker, ask, &mut out);
+        state.work(now, &mut out);
+        self.send_out(host, group, from, out);
+    }
+
+    fn ask(&mut self, host: usize, group: usize, ask: Ask, purpose: Purpose) {
+        self.next_ask += 1;
+        let (number, target, now) = (self.next_ask, self.rng.random_range(0..3), self.now);
+        let boot = self.hosts[host].boot;
+        let asking = Asking { host, boot, group, ask, purpose, target, tried_at: now, since: now };
+        self.asking.insert(number, asking);
+        self.send_ask(number);
+    }
+
+    fn send_ask(&mut self, number: u64) {
+        let now = self.now;
+        let Some(asking) = self.asking.get_mut(&number) else {
+            return;
+        };
+        asking.tried_at = now;
+        let (from, to_host, group) = (asking.host, asking.target, asking.group);
+        let ask = asking.ask.clone();
+        if self.can_talk(from, to_host) {
+            let delay = self.latency();
+            self.push(delay, Event::Ask { group, to_host, asker: (from, number), ask });
+        }
+    }
+
+    fn retry_asks(&mut self) {
+        let now = self.now;
+        let late: Vec<u64> = self
+            .asking
+            .iter()
+            .filter(|(_, a)| a.tried_at + ASK_TIMEOUT_MS <= now)
+            .map(|(n, _)| *n)
+            .collect();
+        late.into_iter().for_each(|number| self.next_target(number));
+    }
+
+    fn next_target(&mut self, number: u64) {
+        let Some(asking) = self.asking.get_mut(&number) else {
+            return;
+        };
+        let is_over = asking.since + ASK_PATIENCE_MS <= self.now
+            || self.hosts[asking.host].boot != asking.boot;
+        if is_over {
+            if let Some(asking) = self.asking.remove(&number) {
+                self.answered(asking, None);
+            }
+            return;
+        }
+        asking.target = (asking.target + 1) % 3;
+        self.send_ask(number);
+    }
+
+    fn on_reply(&mut self, host: usize, number: u64, reply: Reply) {
+        let is_wanted = self
+            .asking
+            .get(&number)
+            .is_some_and(|a| a.host == host && a.boot == self.hosts[host].boot);
+        if !is_wanted {
+            return;
+        }
+        if matches!(reply, Reply::NotLeader) {
+            // A short wait keeps a leaderless time from becoming a storm.
+            if let Some(asking) = self.asking.get_mut(&number) {
+                asking.tried_at = self.now.saturating_sub(ASK_TIMEOUT_MS - 20);
+            }
+            return;
+        }
+        if let Some(asking) = self.asking.remove(&number) {
+            self.answered(asking, Some(reply));
+        }
+    }
+
+    fn answered(&mut self, asking: Asking, reply: Option<Reply>) {
+        let host = asking.host;
+        if !self.is_up(host) || self.hosts[host].boot != asking.boot {
+            return;
+        }
+        let data = match &reply {
+            Some(Reply::Data(data)) => Some(data.as_slice()),
+            _ => None,
+        };
+        match asking.purpose {
+            Purpose::Submit(op) => {
+                let result = data.map(|d| machine::decode(d).unwrap()).ok_or(entry::Unreachable);
+                self.input(host, Input::Submitted { op, result });
+            }
+            Purpose::Control(op) => {
+                let result = data.map(|d| machine::decode(d).unwrap()).ok_or(entry::Unreachable);
+                self.input(host, Input::Controlled { op, result });
+            }
+            Purpose::Load(op, known) => {
+                let result = match data.map(|d| machine::decode::<program::View>(d).unwrap()) {
+                    Some(program::View::Loaded { summary, history }) => {
+                        Ok(Ok(Box::new(entry::Loaded { summary: *summary, known, history })))
+                    }
+                    Some(program::View::Answer(reply)) => Ok(Err(reply)),
+                    Some(program::View::Refused(refusal)) => {
+                        Ok(Err(program::Reply::Refused(refusal)))
+                    }
+                    _ => Err(entry::Unreachable),
+                };
+                self.input(host, Input::Loaded { op, result });
+            }
+            Purpose::Renew { sent } => self.renewed(host, sent, reply),
+            Purpose::Register => {
+                let name = self.hosts[host].name.clone();
+                if let Some(control::Reply::Registered { epoch }) =
+                    data.map(|d| machine::decode(d).unwrap())
+                {
+                    self.hosts[host].holder = Some(id::Holder { instance: name, epoch });
+                }
+                self.hosts[host].is_renewing = false;
+                self.hosts[host].renew_due = self.now;
+            }
+            Purpose::Open(caller) => {
+                let reply = data.map(|d| machine::decode(d).unwrap());
+                self.callers[caller].is_open |= reply == Some(program::Reply::Done);
+            }
+            Purpose::Close(caller) => {
+                let reply = data.map(|d| machine::decode(d).unwrap());
+                self.callers[caller].is_closed |= reply == Some(program::Reply::Done);
+            }
+            Purpose::Ticket(number) => {
+                if let Some(reply) = data.map(|d| machine::decode(d).unwrap()) {
+                    self.ticket_replies.push((number, reply));
+                }
+            }
+            Purpose::Nothing => {}
+        }
+    }
+
+    fn renewed(&mut self, host: usize, sent: Millis, reply: Option<Reply>) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        state.is_renewing = false;
+        state.renew_due = now + LEASE.renew_ms;
+        match reply {
+            Some(Reply::Granted { snapshot, in_force }) => {
+                let Some(holder) = state.holder.clone() else {
+                    return;
+                };
+                if snapshot.version > state.entry.version() {
+                    state.renew_due = now;
+                }
+                let length = LEASE.length_ms;
+                self.input(
+                    host,
+                    Input::Renewed { holder, sent, length, snapshot: Some(snapshot), in_force },
+                );
+            }
+            Some(Reply::Expelled) => {
+                state.holder = None;
+                state.renew_due = now;
+                self.input(host, Input::Expelled);
+            }
+            _ => {}
+        }
+    }
+
+    fn renew(&mut self, host: usize) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        if state.is_renewing || state.renew_due > now {
+            return;
+        }
+        state.is_renewing = true;
+        let version = state.entry.version();
+        match state.holder.clone() {
+            Some(holder) => self.ask(
+                host,
+                CONTROL,
+                Ask::Renew { holder, version },
+                Purpose::Renew { sent: now },
+            ),
+            None => {
+                let command = Command::Register {
+                    instance: state.name.clone(),
+                    nonce: u64::from(state.boot),
+                    address: "127.0.0.1:1".into(),
+                    failure_domain: "a".into(),
+                };
+                let ask = Ask::Submit(machine::encode(&command).unwrap());
+                self.ask(host, CONTROL, ask, Purpose::Register);
+            }
+        }
+    }
+
+    /// Duties of journal leaders: expiry, tickets in force, releases.
+    fn lead(&mut self, host: usize) {
+        let now = self.now;
+        if self.hosts[host].registry(now).is_some() {
+            let state = &mut self.hosts[host];
+            let query = |query| machine::encode(&query).unwrap();
+            let control = &state.groups[CONTROL].machine;
+            let snapshot =
+                machine::decode(&control.query(&query(control::Query::Snapshot)).unwrap()).unwrap();
+            let pending = machine::decode(
+                &control.query(&query(control::Query::Pending { limit: 99 })).unwrap(),
+            )
+            .unwrap();
+            let (control::View::Snapshot(snapshot), control::View::Tickets(pending)) =
+                (snapshot, pending)
+            else {
+                return;
+            };
+            let Some((_, registry)) = &mut state.registry else {
+                return;
+            };
+            let mut commands: Vec<Command> =
+                registry.overdue(now, &snapshot).into_iter().map(Command::Expire).collect();
+            let in_force = registry.in_force(now, &snapshot);
+            let confirmed = pending.iter().filter(|(_, r)| r.version <= in_force);
+            commands.extend(confirmed.map(|(number, _)| Command::InForce { number: *number }));
+            for command in commands {
+                let ask = Ask::Submit(machine::encode(&command).unwrap());
+                self.on_ask(CONTROL, host, (host, 0), ask);
+            }
+        }
+        if self.now.is_multiple_of(100) {
+            self.release(host);
+        }
+    }
+
+    fn release(&mut self, host: usize) {
+        let Some(group) = self.hosts[host]
+            .groups
+            .get(SHARD)
+            .filter(|g| !g.is_stopped && g.replica.is_established())
+        else {
+            return;
+        };
+        let query = machine::encode(&program::Query::Backlog { limit: 99 }).unwrap();
+        let Ok(program::View::Backlog(rows)) =
+            machine::decode(&group.machine.query(&query).unwrap())
+        else {
+            return;
+        };
+        for (program, server) in rows {
+            let backend = self.backends.get_mut(&server).unwrap();
+            if backend.is_down || self.releases_fail {
+                continue;
+            }
+            backend.held.remove(&program);
+            let command = program::Command::Released { program, server };
+            self.on_ask(SHARD, host, (host, 0), Ask::Submit(machine::encode(&command).unwrap()));
+        }
+    }
+
+    fn join(&mut self, host: usize) {
+        let state = &self.hosts[host];
+        if !state.has_disk || !self.now.is_multiple_of(100) {
+            return;
+        }
+        let (name, id) = (state.name.clone(), state.id);
+        for group in 0..state.groups.len() {
+            if self.hosts[host].groups[group].replica.members().is_voter(id) {
+                continue;
+            }
+            for other in 0..3 {
+                let is_near = self.is_up(other) && self.can_talk(host, other);
+                if let Some(found) = self.hosts[other].groups.get_mut(group).filter(|_| is_near) {
+                    found.join(&name, id);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, host: usize) {
+        if !self.now.is_multiple_of(200) {
+            return;
+        }
+        let at = self.now;
+        let reports: Vec<(String, Option<Load>)> = self
+            .backends
+            .iter()
+            .map(|(name, b)| {
+                let load = Load {
+                    incarnation: b.incarnation,
+                    running: b.running.len() as u32,
+                    is_leaving: b.is_leaving,
+                    ..Load::default()
+                };
+                (name.clone(), (!b.is_down).then_some(load))
+            })
+            .collect();
+        for (server, load) in reports {
+            self.input(host, Input::Report { server, at, load });
+        }
+    }
+
+    fn input(&mut self, host: usize, input: Input) {
+        let outputs = self.hosts[host].entry.step(self.now, input);
+        for output in outputs {
+            self.perform(host, output);
+        }
+    }
+
+    fn perform(&mut self, host: usize, output: Output) {
+        let boot = self.hosts[host].boot;
+        match output {
+            Output::Load { op, call, known } => {
+                let query = machine::encode(&program::Query::Load { call, known }).unwrap();
+                self.ask(host, SHARD, Ask::Query(query), Purpose::Load(op, known));
+            }
+            Output::Submit { op, command, .. } => {
+                let ask = Ask::Submit(machine::encode(&*command).unwrap());
+                self.ask(host, SHARD, ask, Purpose::Submit(op));
+            }
+            Output::Control { op, command } => {
+                let ask = Ask::Submit(machine::encode(&*command).unwrap());
+                self.ask(host, CONTROL, ask, Purpose::Control(op));
+            }
+            Output::Dispatch(dispatch) => {
+                let server = dispatch.server.clone();
+                self.note(format!("h{host} dispatches {} to {server}", dispatch.attempt));
+                let life = self.backends[&server].incarnation;
+                self.push(1, Event::Work { server, host, boot, dispatch, part: 0, life });
+            }
+            Output::Cancel(id) => {
+                for backend in self.backends.values_mut() {
+                    backend.running.remove(&(host, boot, id));
+                }
+            }
+            Output::Lookup(_) | Output::Chunk { .. } => {}
+            Output::Answer { token, answer } => {
+                if let Some(caller) = self.waiters.remove(&(host, boot, token)) {
+                    let delay = self.latency();
+                    self.push(delay, Event::Answer { caller, answer });
+                }
+            }
+        }
+    }
+
+    fn news(&mut self, host: usize, boot: u32, id: u64, event: entry::Backend) {
+        let delay = self.latency();
+        let input = Box::new(Input::Backend { id, event });
+        self.push(delay, Event::Input { host, boot, input });
+    }
+
+    fn on_work(
+        &mut self,
+        name: &str,
+        host: usize,
+        boot: u32,
+        dispatch: &Dispatch,
+        part: u32,
+        life: u64,
+    ) {
+        let key = (host, boot, dispatch.id);
+        let now = self.now;
+        let backend = self.backends.get_mut(name).unwrap();
+        if backend.is_down || backend.incarnation != life {
+            if part == 0 {
+                self.news(host, boot, dispatch.id, entry::Backend::Failed(Failure::NotSent));
+            }
+            return;
+        }
+        if part == 0 {
+            if backend.is_leaving {
+                self.news(host, boot, dispatch.id, entry::Backend::Failed(Failure::Rejected));
+                return;
+            }
+            backend.running.insert(key, dispatch.clone());
+            let is_engine = dispatch.role == Role::Engine;
+            if contains(dispatch, HANG) {
+                return;
+            }
+            let history: usize = dispatch.history.iter().map(Vec::len).sum();
+            self.ledger.push(Execution {
+                at: now,
+                server: name.to_owned(),
+                attempt: dispatch.attempt.clone(),
+                is_idempotent: is_engine,
+                tokens: if is_engine { (history + dispatch.content.len()) as u64 } else { 0 },
+            });
+            if is_engine {
+                backend.held.insert(dispatch.attempt.call.program.clone());
+            }
+            if contains(dispatch, POISON) {
+                self.crash(name);
+                return;
+            }
+        } else if !backend.running.contains_key(&key) {
+            return;
+        }
+        self.proceed(name, host, boot, dispatch, part, life);
+    }
+
+    /// Two parts of an answer, then its end.
+    fn proceed(
+        &mut self,
+        name: &str,
+        host: usize,
+        boot: u32,
+        dispatch: &Dispatch,
+        part: u32,
+        life: u64,
+    ) {
+        let is_engine = dispatch.role == Role::Engine;
+        if part < 2 {
+            if is_engine && part > 0 {
+                let event = entry::Backend::Chunk { text: "x".into(), tokens: 1 };
+                self.news(host, boot, dispatch.id, event);
+            }
+            let server = name.to_owned();
+            let dispatch = Box::new(dispatch.clone());
+            self.push(10, Event::Work { server, host, boot, dispatch, part: part + 1, life });
+            return;
+        }
+        if let Some(backend) = self.backends.get_mut(name) {
+            backend.running.remove(&(host, boot, dispatch.id));
+        }
+        if contains(dispatch, LOSE) {
+            self.news(host, boot, dispatch.id, entry::Backend::Failed(Failure::Cut));
+            return;
+        }
+        let answer = answer_of(&dispatch.history, &dispatch.content);
+        let history: usize = dispatch.history.iter().map(Vec::len).sum();
+        let tokens = if is_engine { (history + dispatch.content.len()) as u64 + 1 } else { 0 };
+        let spent = Amount { tokens, ..Amount::default() };
+        self.news(
+            host,
+            boot,
+            dispatch.id,
+            entry::Backend::Finished { answer, spent, cached_tokens: 0 },
+        );
+    }
+
+    /// A backend server dies and returns empty.
+    pub(crate) fn crash(&mut self, name: &str) {
+        self.note(format!("{name} crashes"));
+        let backend = self.backends.get_mut(name).unwrap();
+        let life = backend.incarnation;
+        backend.incarnation += 1;
+        backend.held.clear();
+        for ((host, boot, id), _) in std::mem::take(&mut backend.running) {
+            self.news(host, boot, id, entry::Backend::Failed(Failure::Crashed(life)));
+        }
+    }
+
+    fn drive(&mut self, at: usize) {
+        let caller = &mut self.callers[at];
+        if caller.is_closed || caller.resend_at > self.now || caller.start_at > self.now {
+            return;
+        }
+        caller.resend_at = self.now + RESEND_MS;
+        caller.entry = (caller.entry + 1) % 5;
+        let (host, program) = (caller.entry, caller.program.clone());
+        if !self.is_up(host) || self.hosts[host].frozen_until > self.now {
+            self.callers[at].resend_at = self.now + 50;
+            return;
+        }
+        let now_ms = self.now;
+        let caller = &self.callers[at];
+        if !caller.is_open {
+            let limit = Amount { tokens: caller.budget_tokens, calls: 100, cost: 1_000 };
+            let open = program::Open {
+                program,
+                limit,
+                cap: limit,
+                deadline_ms: NEVER / 2,
+                labels: Vec::new(),
+                now_ms,
+            };
+            let command = machine::encode(&program::Command::Open(open)).unwrap();
+            self.ask(host, SHARD, Ask::Submit(command), Purpose::Open(at));
+            self.callers[at].resend_at = self.now + 100;
+        } else if caller.step().is_none() {
+            let close = program::Close { program, force: false, now_ms };
+            let command = machine::encode(&program::Command::Close(close)).unwrap();
+            self.ask(host, SHARD, Ask::Submit(command), Purpose::Close(at));
+            self.callers[at].resend_at = self.now + 100;
+        } else {
+            let twice = caller.sends_twice;
+            let delay = self.latency();
+            self.push(delay, Event::Call { host, caller: at });
+            if twice {
+                self.push(delay, Event::Call { host: (host + 2) % 5, caller: at });
+            }
+        }
+    }
+
+    fn on_call(&mut self, host: usize, at: usize) {
+        let caller = &self.callers[at];
+        let Some(step) = caller.step().cloned() else {
+            return;
+        };
+        self.next_token += 1;
+        let token = self.next_token;
+        let call = id::Call { program: caller.program.clone(), seq: caller.seq() };
+        self.waiters.insert((host, self.hosts[host].boot, token), at);
+        let request = Request {
+            token,
+            call,
+            service: step.service.into(),
+            content: step.content.into_bytes().into(),
+            is_idempotent: step.is_idempotent,
+            max_tokens: 16,
+            cost: 1,
+        };
+        self.input(host, Input::Call(request));
+    }
+
+    /// Sends a ticket through a host.
+    pub(crate) fn send_ticket(&mut self, host: usize, ticket: &control::Ticket) {
+        let command = Command::Ticket { ticket: ticket.clone(), now_ms: self.now };
+        let ask = Ask::Submit(machine::encode(&command).unwrap());
+        self.ask(host, CONTROL, ask, Purpose::Ticket(ticket.number));
+    }
+
+    pub(crate) fn leader(&self, group: usize) -> Option<usize> {
+        let leads = |host: &Host| {
+            host.is_alive
+                && host
+                    .groups
+                    .get(group)
+                    .is_some_and(|g| !g.is_stopped && g.replica.is_established())
+        };
+        let leaders = (0..3).filter(|at| leads(&self.hosts[*at]));
+        leaders.max_by_key(|at| self.hosts[*at].groups[group].replica.term())
+    }
+
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.note(format!("h{host} is killed"));
+        let state = &mut self.hosts[host];
+        state.is_alive = false;
+        state.boot += 1;
+        state.registry = None;
+    }
+
+    pub(crate) fn wipe(&mut self, host: usize) {
+        self.note(format!("h{host} loses its disk"));
+        self.hosts[host].groups.clear();
+    }
+
+    pub(crate) fn restart(&mut self, host: usize) {
+        self.note(format!("h{host} restarts"));
+        let seed = self.rng.random();
+        let state = &mut self.hosts[host];
+        state.is_alive = true;
+        state.frozen_until = 0;
+        state.boot += 1;
+        state.entry = new_entry(seed);
+        state.holder = None;
+        state.is_renewing = false;
+        state.renew_due = 0;
+        state.registry = None;
+        let disks: Vec<Recovered> = state.groups.drain(..).map(|group| group.disk).collect();
+        if state.has_disk {
+            self.start_groups(host, disks);
+        }
+    }
+
+    fn start_groups(&mut self, host: usize, disks: Vec<Recovered>) {
+        let peers: Vec<Peer> = (0..3)
+            .filter(|other| *other != host)
+            .map(|other| {
+                let is_empty = |g: &Group| g.replica.term() == 0 && g.replica.last_index() == 0;
+                Peer {
+                    instance: format!("h{other}"),
+                    is_fresh: self.hosts[other].groups.iter().all(is_empty),
+                }
+            })
+            .collect();
+        let (now, seed) = (self.now, self.rng.random());
+        let configured: Vec<String> = (0..3).map(|at| format!("h{at}")).collect();
+        self.hosts[host].start_groups(disks, &peers, &configured, now, seed);
+    }
+
+    pub(crate) fn freeze(&mut self, host: usize, time: Millis) {
+        self.note(format!("h{host} is frozen for {time} ms"));
+        self.hosts[host].frozen_until = self.now + time;
+    }
+
+    /// Cuts a host off: from others' messages, its own, or both.
+    pub(crate) fn isolate(&mut self, host: usize, inwards: bool, outwards: bool) {
+        self.note(format!("h{host} is cut off, inwards {inwards}, outwards {outwards}"));
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            if inwards {
+                self.cut.insert((other, host));
+            }
+            if outwards {
+                self.cut.insert((host, other));
+            }
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.note("the network heals".into());
+        self.cut.clear();
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.callers.iter().all(|caller| caller.is_closed)
+    }
+
+    /// The shard's machine on a replica.
+    pub(crate) fn view(&self, host: usize, query: &program::Query) -> program::View {
+        let group = &self.hosts[host].groups[SHARD];
+        machine::decode(&group.machine.query(&machine::encode(query).unwrap()).unwrap()).unwrap()
+    }
+}
--- /dev/null
+++ b/crates/protocol/tests/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the protocol layer.
--- /dev/null
+++ b/crates/standins/tests/main.rs
@@ -0,0 +1,1 @@
+//! Tests with real processes.
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -16,7 +16,7 @@
 const SEGMENT_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Where an item lies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Locator {
     /// Number of the segment.
     pub segment: u64,
--- a/crates/state/src/journal.rs
+++ b/crates/state/src/journal.rs
@@ -58,7 +58,8 @@
 }
 
 impl Recovered {
-    fn replay(&mut self, record: Record) {
+    /// Takes one record in the order of writing.
+    pub fn replay(&mut self, record: Record) {
         match record {
             Record::Meta(meta) => self.meta = Some(meta),
             Record::Entry { index, body } => self.entries.push((index, body)),
--- a/crates/state/src/program/command.rs
+++ b/crates/state/src/program/command.rs
@@ -80,6 +80,8 @@
 pub struct Begin {
     /// The attempt.
     pub attempt: id::Attempt,
+    /// When the program was opened, in milliseconds since the Unix epoch.
+    pub opened_ms: u64,
     /// Digest of service, content and limits.
     pub digest: id::Digest,
     /// The entry that will dispatch it.
@@ -244,6 +246,8 @@
     pub program: id::Program,
     /// Limit, reservations and expenses.
     pub budget: Budget,
+    /// When it was opened, in milliseconds since the Unix epoch.
+    pub opened_ms: u64,
     /// End of its time, in milliseconds since the Unix epoch.
     pub deadline_ms: u64,
     /// Sequence number of the next call.
--- a/crates/state/src/program/record.rs
+++ b/crates/state/src/program/record.rs
@@ -65,6 +65,9 @@
 pub struct Program {
     /// Limit, reservations and expenses.
     pub budget: Budget,
+    /// When it was opened, in milliseconds since the Unix epoch; tells it from an
+    /// earlier program of the same name.
+    pub opened_ms: u64,
     /// End of its time, in milliseconds since the Unix epoch.
     pub deadline_ms: u64,
     /// Labels for placement.
--- a/crates/state/src/program/shard.rs
+++ b/crates/state/src/program/shard.rs
@@ -80,6 +80,7 @@
         }
         let program = Program {
             budget: Budget::new(limit),
+            opened_ms: open.now_ms,
             deadline_ms: open.deadline_ms,
             labels: open.labels,
             entries: Vec::new(),
@@ -542,7 +543,12 @@
         for locator in self.programs.values().flat_map(locators) {
             items.push(self.history.read(locator)?);
         }
-        machine::encode(&Exported { programs: self.programs.clone(), items })
+        // Where items lie differs from disk to disk.
+        let mut programs = self.programs.clone();
+        for locator in programs.values_mut().flat_map(locators_mut) {
+            *locator = Locator::default();
+        }
+        machine::encode(&Exported { programs, items })
     }
 
     fn import(&mut self, exported: &[u8]) -> Result<(), Storage> {
@@ -573,6 +579,10 @@
 /// Decides whether `begin` may start; `None` means yes.
 fn admission(program: &Program, begin: &Begin) -> Option<Reply> {
     let call = &begin.attempt.call;
+    if begin.opened_ms != program.opened_ms {
+        let detail = format!("program {} was opened again since", call.program);
+        return Some(refused(Kind::OutOfOrder, detail));
+    }
     if call.seq != program.next_seq() {
         let detail = format!("call {call}: the next sequence number is {}", program.next_seq());
         return Some(refused(Kind::OutOfOrder, detail));
@@ -650,6 +660,7 @@
     Summary {
         program: id.clone(),
         budget: program.budget,
+        opened_ms: program.opened_ms,
         deadline_ms: program.deadline_ms,
         next_seq: program.next_seq(),
         current: running,
--- a/crates/transport/src/journal.rs
+++ b/crates/transport/src/journal.rs
@@ -94,11 +94,11 @@
         &self,
         call: &id::Call,
         known: usize,
-    ) -> Result<Result<entry::Loaded, program::Reply>, entry::Unreachable> {
+    ) -> Result<Result<Box<entry::Loaded>, program::Reply>, entry::Unreachable> {
         let query = program::Query::Load { call: call.clone(), known };
         match self.query(self.group(&call.program), &query).await {
             Ok(program::View::Loaded { summary, history }) => {
-                Ok(Ok(entry::Loaded { summary: *summary, history }))
+                Ok(Ok(Box::new(entry::Loaded { summary: *summary, known, history })))
             }
             Ok(program::View::Answer(reply)) => Ok(Err(reply)),
             Ok(program::View::Refused(refusal)) => Ok(Err(program::Reply::Refused(refusal))),
--- /dev/null
+++ b/crates/transport/tests/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the transport layer.
