fix(lease): a ticket comes into force past an instance that only sends

Cause: an entry that could send but not receive kept renewing; the control leader extended its lease on every renewal and waited for an acknowledgement that could never come, so a ticket was not in force after 4 s. Ruled out: the entry acting under old rules (its own lease had run out, since no grant reached it). Second fault: an entry ran suspect content again beside other calls before the control state showed it as suspect, so an innocent neighbour stood at two crashes. Change: the registry remembers the version that went with each grant, as a lost grant extends nothing; an instance that never acknowledges is expelled after one lease. A call that was at a crash is a suspect at once on its own entry.

--- a/crates/coordination/src/entry/call.rs
+++ b/crates/coordination/src/entry/call.rs
@@ -82,6 +82,8 @@
     pub(crate) text: String,
     pub(crate) tokens: u64,
     pub(crate) program: Option<Arc<Cached>>,
+    /// Whether it was present at a crash; known here before the control state shows it.
+    pub(crate) was_at_crash: bool,
     /// Whether this call runs alone as suspect content.
     pub(crate) is_trial: bool,
 }
@@ -107,6 +109,7 @@
             text: String::new(),
             tokens: 0,
             program: None,
+            was_at_crash: false,
             is_trial: false,
         }
     }
--- a/crates/coordination/src/entry/core.rs
+++ b/crates/coordination/src/entry/core.rs
@@ -326,7 +326,7 @@
             self.refuse(call, kind);
             return;
         }
-        if self.snapshot.suspects.contains_key(&active.content) {
+        if active.was_at_crash || self.snapshot.suspects.contains_key(&active.content) {
             if let Some(server) = self.trial_server(call, &allowed, holder) {
                 self.begin(call, &server, holder);
             }
--- a/crates/coordination/src/entry/trial.rs
+++ b/crates/coordination/src/entry/trial.rs
@@ -83,6 +83,7 @@
         let Some(active) = self.calls.get_mut(call) else {
             return;
         };
+        active.was_at_crash = true;
         active.stage = Stage::Reporting { server: server.clone(), incarnation };
         active.op = Some(op);
         active.due = None;
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -67,10 +67,29 @@
 }
 
 /// What the control leader knows of one lease.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Default)]
 struct Seen {
-    until: Millis,
+    /// Versions that went with grants, each with the end of its last grant.
+    ///
+    /// A grant that was lost on its way extends nothing, so the instance may still live
+    /// under any of these.
+    grants: Vec<(u64, Millis)>,
     acknowledged: u64,
+    /// Since when the instance has not acknowledged what its grants carried.
+    behind_since: Option<Millis>,
+}
+
+impl Seen {
+    fn until(&self) -> Millis {
+        self.grants.iter().map(|(_, until)| *until).max().unwrap_or(0)
+    }
+
+    /// Lowest version under which the instance may dispatch; `None` if it may not.
+    fn obeys(&self, now: Millis) -> Option<u64> {
+        let running = self.grants.iter().filter(|(_, until)| now < *until);
+        let lowest = running.map(|(version, _)| *version).min()?;
+        Some(lowest.max(self.acknowledged))
+    }
 }
 
 /// All leases, as the control leader sees them.
@@ -89,37 +108,57 @@
         Self { settings, since: now, seen: Map::default(), met: Map::default() }
     }
 
-    /// Grants or extends a lease along with the newest snapshot.
-    pub fn grant(&mut self, now: Millis, holder: &Holder, acknowledged: u64) {
-        let until = now + self.settings.length_ms + self.settings.margin_ms;
-        let seen = self.seen.entry(holder.clone()).or_insert(Seen { until, acknowledged: 0 });
-        seen.until = seen.until.max(until);
+    fn patience(&self) -> Millis {
+        self.settings.length_ms + self.settings.margin_ms
+    }
+
+    /// Grants or extends a lease along with the snapshot of `version`.
+    ///
+    /// Returns `false` for an instance that asks but does not acknowledge what it is sent:
+    /// it cannot be heard and heard from, so its lease runs out.
+    pub fn grant(&mut self, now: Millis, holder: &Holder, acknowledged: u64, version: u64) -> bool {
+        let patience = self.patience();
+        // An earlier leader may have granted a lease under any version.
+        let inherited = vec![(0, self.since + patience)];
+        let seen = self
+            .seen
+            .entry(holder.clone())
+            .or_insert_with(|| Seen { grants: inherited, ..Seen::default() });
         seen.acknowledged = seen.acknowledged.max(acknowledged);
+        if acknowledged >= version {
+            seen.behind_since = None;
+        } else if now >= *seen.behind_since.get_or_insert(now) + patience {
+            return false;
+        }
+        seen.grants.retain(|(granted, until)| now < *until && *granted != version);
+        seen.grants.push((version, now + patience));
+        true
     }
 
     /// Whether the lease of this life is surely over.
     pub fn is_over(&self, now: Millis, holder: &Holder) -> bool {
-        let inherited = self.since + self.settings.length_ms + self.settings.margin_ms;
-        now >= self.seen.get(holder).map_or(inherited, |seen| seen.until.max(inherited))
-            || self.seen.get(holder).is_some_and(|seen| seen.until == 0)
+        match self.seen.get(holder) {
+            Some(seen) => now >= seen.until(),
+            None => now >= self.since + self.patience(),
+        }
     }
 
     /// Notes that the instance gave its lease back.
     pub fn give_back(&mut self, holder: &Holder) {
-        self.seen.insert(holder.clone(), Seen { until: 0, acknowledged: u64::MAX });
+        self.seen.insert(holder.clone(), Seen::default());
     }
 
     /// Lives whose lease is over but which the journal does not show as expired.
     ///
     /// A life that has just registered gets the time of one lease for its first renewal.
     pub fn overdue(&mut self, now: Millis, snapshot: &Snapshot) -> Vec<Holder> {
-        let patience = self.settings.length_ms + self.settings.margin_ms;
+        let patience = self.patience();
         self.met.retain(|holder, _| snapshot.is_current(holder));
         self.seen.retain(|holder, _| snapshot.is_current(holder));
         let mut overdue = Vec::new();
         for holder in holders(snapshot) {
             let met = *self.met.entry(holder.clone()).or_insert(now);
-            let was_given_back = self.seen.get(&holder).is_some_and(|seen| seen.until == 0);
+            let was_given_back = self.seen.get(&holder).is_some_and(|seen| seen.grants.is_empty());
             let had_time = now >= met + patience || was_given_back;
             if had_time && self.is_over(now, &holder) {
                 overdue.push(holder);
@@ -131,8 +170,10 @@
     /// Highest version that each instance that may dispatch obeys.
     pub fn in_force(&self, now: Millis, snapshot: &Snapshot) -> u64 {
         holders(snapshot)
-            .filter(|holder| !self.is_over(now, holder))
-            .map(|holder| self.seen.get(&holder).map_or(0, |seen| seen.acknowledged))
+            .filter_map(|holder| match self.seen.get(&holder) {
+                Some(seen) => seen.obeys(now),
+                None => (!self.is_over(now, &holder)).then_some(0),
+            })
             .min()
             .unwrap_or(snapshot.version)
             .min(snapshot.version)
@@ -142,7 +183,7 @@
     pub fn remaining(&self, now: Millis, snapshot: &Snapshot) -> Vec<(String, Millis)> {
         holders(snapshot)
             .map(|holder| {
-                let until = self.seen.get(&holder).map_or(0, |seen| seen.until);
+                let until = self.seen.get(&holder).map_or(0, Seen::until);
                 (holder.instance, until.saturating_sub(now))
             })
             .collect()
--- /dev/null
+++ b/crates/coordination/tests/faults/backends.rs
@@ -0,0 +1,83 @@
+//! Faults of backend servers.
+
+use crate::util::{Caller, Step, World, seeds, verify};
+use state::error::{Kind, Ran};
+
+fn world_with(seed: u64, steps: Vec<Step>) -> World {
+    let mut world = World::new(seed);
+    world.callers.push(Caller::new("watched", 2, steps));
+    for other in 0..4 {
+        let steps = vec![Step::model("a"), Step::tool("b"), Step::model("c"), Step::model("d")];
+        world.callers.push(Caller::new(&format!("other{other}"), other, steps));
+    }
+    world
+}
+
+#[test]
+fn a_tool_that_hangs_is_answered_unknown_and_never_runs_twice() {
+    for seed in seeds(1, 5) {
+        let mut world = world_with(seed, vec![Step::tool("hang"), Step::model("after")]);
+        verify(&mut world, &format!("seed {seed}"));
+        let done = &world.callers[0].done[0];
+        assert_eq!((done.ran, done.kind), (Ran::Unknown, Some(Kind::Unknown)), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_tool_that_loses_its_answer_runs_once_and_is_answered_unknown() {
+    for seed in seeds(1, 5) {
+        let mut world = world_with(seed, vec![Step::tool("lose"), Step::model("after")]);
+        verify(&mut world, &format!("seed {seed}"));
+        assert_eq!(world.callers[0].done[0].ran, Ran::Unknown, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_tool_that_can_tell_is_asked_for_the_lost_answer() {
+    for seed in seeds(1, 5) {
+        let step = Step { service: "desk", ..Step::tool("lose") };
+        let mut world = world_with(seed, vec![step]);
+        verify(&mut world, &format!("seed {seed}"));
+        let done = &world.callers[0].done[0];
+        assert_eq!((done.ran, done.content.as_slice()), (Ran::Yes, &b"found"[..]), "seed {seed}");
+    }
+}
+
+/// The caller sends the content again and again, in new programs; other programs run beside.
+#[test]
+fn poison_costs_two_servers_and_is_quarantined_for_everyone() {
+    for seed in seeds(1, 10) {
+        let mut world = world_with(seed, vec![Step::model("poison")]);
+        for again in 1..4 {
+            let mut caller =
+                Caller::new(&format!("again{again}"), again, vec![Step::model("poison")]);
+            caller.start_at = world.now + 4_000 * again as u64;
+            world.callers.push(caller);
+        }
+        verify(&mut world, &format!("seed {seed}"));
+        assert!(world.crashes <= 2, "seed {seed}: {} servers were lost", world.crashes);
+        for caller in &world.callers {
+            let is_poison = caller.steps[0].content == "poison";
+            for done in &caller.done {
+                let is_refused = done.kind == Some(Kind::Quarantined);
+                let trace = world.trace.join("\n");
+                assert_eq!(is_refused, is_poison, "seed {seed}: {}\n{trace}", caller.program);
+            }
+        }
+        let quarantine = &world.hosts[0].entry.snapshot().quarantine;
+        assert_eq!(quarantine.len(), 1, "seed {seed}: {quarantine:?}");
+    }
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new_within_three_seconds() {
+    const LIMIT_MS: u64 = 3_000;
+    for seed in seeds(1, 5) {
+        let steps = (0..40).map(|at| Step::model(&format!("turn {at}"))).collect();
+        let mut world = world_with(seed, steps);
+        world.run_for(1_000);
+        world.backends.get_mut("m1").unwrap().is_leaving = true;
+        world.in_force.push((world.now + LIMIT_MS, "m1".into()));
+        verify(&mut world, &format!("seed {seed}"));
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/faults/tickets.rs
@@ -0,0 +1,176 @@
+//! Tickets under loss.
+
+use crate::util::{Caller, Step, World, config, seeds, verify};
+use state::control::{Change, Deployment, Reply, Ticket};
+use state::error::Kind;
+
+/// Time from acceptance to being in force, at most.
+const IN_FORCE_MS: u64 = 4_000;
+
+/// A ticket that allows all servers but one.
+fn without(number: u64, server: &str) -> Ticket {
+    let mut rules: Deployment = config().deployments["dep"].clone();
+    rules.servers.retain(|name| name != server);
+    Ticket { number, changes: vec![Change::Deployment { name: "dep".into(), state: Some(rules) }] }
+}
+
+fn busy_world(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for at in 0..6 {
+        let steps = (0..25).map(|turn| Step::model(&format!("turn {turn}"))).collect();
+        world.callers.push(Caller::new(&format!("busy{at}"), at, steps));
+    }
+    world.run_for(400);
+    world
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    EntryKilled,
+    EntryFrozen,
+    EntryCutOff,
+    EntryCutOffInwards,
+    EntryCutOffOutwards,
+    LeaderKilled,
+    LeaderCutOff,
+    LeaderFrozen,
+    DiskWiped,
+}
+
+/// Steps of a ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum At {
+    Sent,
+    Committed,
+    InForce,
+}
+
+fn inject(world: &mut World, fault: Fault) {
+    let leader = world.leader(0).unwrap_or(0);
+    match fault {
+        Fault::None => {}
+        Fault::EntryKilled => world.kill(3),
+        Fault::EntryFrozen => world.freeze(3, 6_000),
+        Fault::EntryCutOff => world.isolate(3, true, true),
+        Fault::EntryCutOffInwards => world.isolate(3, true, false),
+        Fault::EntryCutOffOutwards => world.isolate(3, false, true),
+        Fault::LeaderKilled => world.kill(leader),
+        Fault::LeaderCutOff => world.isolate(leader, true, true),
+        Fault::LeaderFrozen => world.freeze(leader, 6_000),
+        Fault::DiskWiped => {
+            world.kill(leader);
+            world.wipe(leader);
+            world.restart(leader);
+        }
+    }
+}
+
+fn run(fault: Fault, step: At, seed: u64) {
+    let label = format!("{fault:?} at {step:?}, seed {seed}");
+    let mut world = busy_world(seed);
+    let ticket = without(7, "m1");
+    if step == At::Sent {
+        inject(&mut world, fault);
+    }
+    // Through both hosts that no fault touches; one of the two is a resend.
+    let sent = world.now;
+    world.send_ticket(4, &ticket);
+    let is_accepted = world.run_until(3_000, |world| world.recorded(7).is_some());
+    assert!(is_accepted, "{label}: not accepted\n{}", world.trace.join("\n"));
+    let accepted = world.now;
+    if step == At::Committed {
+        inject(&mut world, fault);
+    }
+    let in_force = |world: &World| world.recorded(7).is_some_and(|r| r.is_in_force);
+    let is_in_force = world.run_until(IN_FORCE_MS, in_force);
+    let took = world.now - accepted;
+    assert!(is_in_force, "{label}: not in force {took} ms after acceptance, sent at {sent}");
+    world.in_force.push((world.now, "m1".into()));
+    if step == At::InForce {
+        inject(&mut world, fault);
+    }
+    world.send_ticket(4, &ticket);
+    world.run_for(3_000);
+    world.heal();
+    for host in 0..5 {
+        if !world.hosts[host].is_alive {
+            world.restart(host);
+        }
+    }
+    verify(&mut world, &label);
+    let replies = world.ticket_replies.iter().filter(|(number, _)| *number == 7);
+    for (_, reply) in replies {
+        assert!(matches!(reply, Reply::Accepted(_)), "{label}: {reply:?}");
+    }
+}
+
+macro_rules! matrix {
+    ($($name:ident: $fault:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            for seed in seeds(1, 2) {
+                for step in [At::Sent, At::Committed, At::InForce] {
+                    run($fault, step, seed);
+                }
+            }
+        })*
+    };
+}
+
+matrix! {
+    no_fault: Fault::None;
+    entry_killed: Fault::EntryKilled;
+    entry_frozen: Fault::EntryFrozen;
+    entry_cut_off: Fault::EntryCutOff;
+    entry_cut_off_inwards: Fault::EntryCutOffInwards;
+    entry_cut_off_outwards: Fault::EntryCutOffOutwards;
+    leader_killed: Fault::LeaderKilled;
+    leader_cut_off: Fault::LeaderCutOff;
+    leader_frozen: Fault::LeaderFrozen;
+    disk_wiped: Fault::DiskWiped;
+}
+
+#[test]
+fn one_of_two_raced_tickets_with_one_number_is_accepted() {
+    for seed in seeds(1, 10) {
+        let mut world = World::new(seed);
+        world.send_ticket(3, &without(5, "m1"));
+        world.send_ticket(4, &without(5, "m2"));
+        world.run_for(2_000);
+        let accepted = |reply: &Reply| matches!(reply, Reply::Accepted(_));
+        let conflict =
+            |reply: &Reply| matches!(reply, Reply::Refused(r) if r.kind == Kind::Conflict);
+        let replies: Vec<&Reply> = world.ticket_replies.iter().map(|(_, r)| r).collect();
+        assert_eq!(replies.iter().filter(|r| accepted(r)).count(), 1, "seed {seed}: {replies:?}");
+        assert_eq!(replies.iter().filter(|r| conflict(r)).count(), 1, "seed {seed}: {replies:?}");
+    }
+}
+
+#[test]
+fn an_entry_that_missed_hundreds_of_tickets_serves_nothing_under_old_rules() {
+    for seed in seeds(1, 3) {
+        let mut world = World::new(seed);
+        world.kill(2);
+        world.kill(3);
+        for number in 1..=300 {
+            let server = if number % 2 == 0 { "m1" } else { "m2" };
+            world.send_ticket(4, &without(number, server));
+            world.run_until(2_000, |world| world.recorded(number).is_some());
+        }
+        world.run_until(IN_FORCE_MS, |w| w.recorded(300).is_some_and(|r| r.is_in_force));
+        world.in_force.push((world.now, "m1".into()));
+        // One returns with its old disk, one without any.
+        world.wipe(2);
+        world.restart(2);
+        world.restart(3);
+        for at in 0..4 {
+            let steps = vec![Step::model("a"), Step::model("b"), Step::model("c")];
+            world.callers.push(Caller::new(&format!("late{at}"), 1 + at % 2, steps));
+        }
+        verify(&mut world, &format!("seed {seed}"));
+        let version = world.hosts[4].entry.version();
+        let versions: Vec<u64> = world.hosts.iter().map(|h| h.entry.version()).collect();
+        assert!(versions.iter().all(|v| *v == version), "seed {seed}: {versions:?}");
+    }
+}
--- a/crates/coordination/tests/util/mod.rs
+++ b/crates/coordination/tests/util/mod.rs
@@ -8,5 +8,5 @@
 
 pub(crate) use callers::{Caller, Step};
 pub(crate) use checks::verify;
-pub(crate) use host::SHARD;
-pub(crate) use world::{World, seeds};
+pub(crate) use host::{Group, SHARD};
+pub(crate) use world::{World, config, seeds};
--- a/crates/coordination/tests/util/world.rs
+++ b/crates/coordination/tests/util/world.rs
@@ -82,6 +82,7 @@
     pub(crate) in_force: Vec<(Millis, String)>,
     pub(crate) ticket_replies: Vec<(u64, control::Reply)>,
     pub(crate) releases_fail: bool,
+    pub(crate) crashes: u32,
     pub(crate) trace: Vec<String>,
     asking: BTreeMap<u64, Asking>,
     next_ask: u64,
@@ -112,6 +113,7 @@
         ("m3".into(), server("model", "c")),
         ("t1".into(), server("tool", "a")),
         ("t2".into(), server("tool", "b")),
+        ("d1".into(), server("desk", "c")),
     ]
     .into();
     let deployment = Deployment {
@@ -126,6 +128,7 @@
         services: [
             ("model".to_owned(), service(Role::Engine, false)),
             ("tool".to_owned(), service(Role::Tool, false)),
+            ("desk".to_owned(), service(Role::Tool, true)),
         ]
         .into(),
         servers,
@@ -149,6 +152,7 @@
             in_force: Vec::new(),
             ticket_replies: Vec::new(),
             releases_fail: false,
+            crashes: 0,
             trace: Vec::new(),
             asking: BTreeMap::new(),
             next_ask: 0,
@@ -358,7 +362,9 @@
         let Some(registry) = state.registry(now) else {
             return Reply::NotLeader;
         };
-        registry.grant(now, holder, *version);
+        if !registry.grant(now, holder, *version, snapshot.version) {
+            return Reply::Expelled;
+        }
         let in_force = registry.in_force(now, &snapshot);
         Reply::Granted { snapshot, in_force }
     }
@@ -703,7 +709,15 @@
                     backend.running.remove(&(host, boot, id));
                 }
             }
-            Output::Lookup(_) | Output::Chunk { .. } => {}
+            Output::Lookup(lookup) => {
+                let call = &lookup.attempt.call;
+                let was_executed = self.ledger.iter().any(|e| e.attempt.call == *call);
+                if was_executed {
+                    let answer = Some(b"found".to_vec());
+                    self.news(host, boot, lookup.id, entry::Backend::Found(answer));
+                }
+            }
+            Output::Chunk { .. } => {}
             Output::Answer { token, answer } => {
                 if let Some(caller) = self.waiters.remove(&(host, boot, token)) {
                     let delay = self.latency();
@@ -811,6 +825,7 @@
     /// A backend server dies and returns empty.
     pub(crate) fn crash(&mut self, name: &str) {
         self.note(format!("{name} crashes"));
+        self.crashes += 1;
         let backend = self.backends.get_mut(name).unwrap();
         let life = backend.incarnation;
         backend.incarnation += 1;
@@ -883,6 +898,21 @@
         self.input(host, Input::Call(request));
     }
 
+    /// Applied control state of some replica that is up.
+    pub(crate) fn recorded(&self, number: u64) -> Option<control::Recorded> {
+        let query = control::Query::Tickets { after: number - 1, limit: 1 };
+        let query = machine::encode(&query).unwrap();
+        let up = self.hosts.iter().filter(|host| host.is_alive);
+        let found =
+            up.filter_map(|host| host.groups.get(CONTROL)).filter_map(
+                |group| match machine::decode(&group.machine.query(&query).unwrap()).unwrap() {
+                    control::View::Tickets(mut tickets) => tickets.remove(&number),
+                    _ => None,
+                },
+            );
+        found.max_by_key(|recorded| recorded.is_in_force)
+    }
+
     /// Sends a ticket through a host.
     pub(crate) fn send_ticket(&mut self, host: usize, ticket: &control::Ticket) {
         let command = Command::Ticket { ticket: ticket.clone(), now_ms: self.now };
--- a/crates/state/src/program/shard.rs
+++ b/crates/state/src/program/shard.rs
@@ -133,6 +133,10 @@
         if let Some(reply) = admission(program, &begin) {
             return Ok(reply);
         }
+        if program.current.is_none() && begin.now_ms > program.deadline_ms {
+            let call = &begin.attempt.call;
+            return self.settle_not_run(call, begin.digest, Kind::DeadlineExceeded);
+        }
         let previous = program.current.take();
         let charged = settle_lost(&mut program.budget, previous.as_ref());
         if !program.budget.reserve(begin.reserve, begin.cap) {
@@ -174,10 +178,7 @@
     ) -> Result<Reply, Storage> {
         let call = &begin.attempt.call;
         let Some(mut previous) = previous else {
-            return Ok(refused(
-                Kind::BudgetExhausted,
-                format!("call {call} needs {:?}", begin.reserve),
-            ));
+            return self.settle_not_run(call, begin.digest, Kind::BudgetExhausted);
         };
         previous.reserve = Amount::default();
         previous.charged = charged;
@@ -447,6 +448,16 @@
                 None => self.refuse_abandoned(call, kind),
             };
         }
+        self.settle_not_run(call, digest, kind)
+    }
+
+    /// Settles the next call in order, which was never begun.
+    fn settle_not_run(
+        &mut self,
+        call: &id::Call,
+        digest: id::Digest,
+        kind: Kind,
+    ) -> Result<Reply, Storage> {
         let messages = self.history.append(&[])?;
         let current = Current {
             attempt: 0,
@@ -590,10 +601,6 @@
     if let Some(current) = &program.current {
         return replacement(current, begin);
     }
-    if begin.now_ms > program.deadline_ms {
-        let detail = format!("program {} is past its deadline", call.program);
-        return Some(refused(Kind::DeadlineExceeded, detail));
-    }
     (begin.attempt.number != 1).then(|| refused(Kind::Conflict, "the first attempt is 1".into()))
 }
 
--- a/crates/transport/src/controller.rs
+++ b/crates/transport/src/controller.rs
@@ -265,21 +265,24 @@
                     term.reports.insert(report.server.clone(), (taken, report));
                 }
             }
-            term.registry.grant(now, &holder, version);
+            if !term.registry.grant(now, &holder, version, snapshot.version) {
+                return None;
+            }
             let reports = term
                 .reports
                 .values()
                 .map(|(at, report)| Report { age_ms: now - at, ..report.clone() })
                 .collect();
-            Grant {
+            Some(Grant {
                 length_ms,
                 in_force: term.in_force,
                 reports,
                 snapshot: (snapshot.version > version).then_some(snapshot),
-            }
+            })
         });
         match grant {
-            Some(grant) => Response::Granted(Box::new(grant)),
+            Some(Some(grant)) => Response::Granted(Box::new(grant)),
+            Some(None) => Response::Expelled,
             None => Response::NotLeader(None),
         }
     }
