--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -1,1 +1,227 @@
 //! Tests of the replicated journal.
+
+use coordination::consensus::{
+    Birth, Entry, Members, Message, Meta, Payload, Peer, Plan, Ready, Replica, Restored, Settings,
+    founder_id,
+};
+
+fn members(ids: &[u64]) -> Members {
+    Members { voters: ids.iter().map(|id| (*id, format!("h{id}"))).collect(), ..Members::default() }
+}
+
+fn replica(id: u64, ids: &[u64]) -> Replica {
+    Replica::new(id, Settings::default(), id, 0, Restored::default(), &members(ids))
+}
+
+/// Persists and returns what is ready.
+fn settle(replica: &mut Replica) -> Ready {
+    let ready = replica.ready();
+    if let Some(last) = ready.entries.last() {
+        replica.synced(last.index);
+    }
+    ready
+}
+
+/// Lets messages flow until none is left; returns the committed indices of each replica.
+fn flow(replicas: &mut [Replica], now: u64) -> Vec<Vec<u64>> {
+    let mut committed = vec![Vec::new(); replicas.len()];
+    loop {
+        let mut messages = Vec::new();
+        let mut is_quiet = true;
+        for (at, replica) in replicas.iter_mut().enumerate() {
+            let from = replica.id();
+            let ready = settle(replica);
+            is_quiet &= ready.is_empty();
+            committed[at].extend(ready.committed.iter().map(|(entry, _)| entry.index));
+            messages.extend(ready.early.into_iter().chain(ready.late).map(|(to, m)| (from, to, m)));
+        }
+        if is_quiet {
+            return committed;
+        }
+        for (from, to, message) in messages {
+            if let Some(replica) = replicas.iter_mut().find(|replica| replica.id() == to) {
+                replica.receive(now, from, message);
+            }
+        }
+    }
+}
+
+fn elect(replicas: &mut [Replica], at: usize) {
+    replicas[at].tick(2_000);
+    flow(replicas, 2_000);
+    assert!(replicas[at].is_established());
+}
+
+#[test]
+fn a_single_voter_leads_at_once() {
+    let mut only = [replica(1, &[1])];
+    elect(&mut only, 0);
+    only[0].propose(2_000, 7, vec![1]).unwrap();
+    assert_eq!(flow(&mut only, 2_000), [vec![2]]);
+}
+
+#[test]
+fn nothing_commits_before_the_leader_has_synced_or_a_quorum_has() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    three[0].propose(2_000, 1, vec![1]).unwrap();
+    let ready = three[0].ready();
+    assert!(ready.committed.is_empty() && !ready.early.is_empty());
+    three[0].synced(ready.entries.last().unwrap().index);
+    assert!(three[0].ready().committed.is_empty(), "one of three is no quorum");
+}
+
+#[test]
+fn a_replica_that_was_cut_off_does_not_raise_the_term() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    let term = three[0].term();
+    for now in 0..50 {
+        three[2].tick(3_000 + now * 1_000);
+        drop(three[2].ready());
+    }
+    assert_eq!(three[2].term(), term, "a pre-vote casts no vote");
+    three[0].tick(60_000);
+    assert!(!three[0].is_leader(), "a leader without a quorum steps down");
+}
+
+#[test]
+fn a_leader_is_not_disturbed_by_an_election_that_it_has_outlived() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    let vote = Message::Vote {
+        term: 99,
+        is_pre: false,
+        is_transfer: false,
+        last_index: 99,
+        last_term: 99,
+    };
+    three[1].receive(2_001, 3, vote.clone());
+    three[0].receive(2_001, 3, vote);
+    assert!(three[0].is_leader());
+    assert_ne!(three[1].term(), 99);
+}
+
+#[test]
+fn reads_wait_for_a_quorum() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    three[0].read(2_000, 5).unwrap();
+    assert!(three[0].ready().reads.is_empty());
+    three[0].read(2_000, 6).unwrap();
+    let ready = three[0].ready();
+    let (_, message) = ready.early.into_iter().find(|(to, _)| *to == 2).unwrap();
+    three[1].receive(2_000, 1, message);
+    let (_, reply) = settle(&mut three[1]).late.remove(0);
+    three[0].receive(2_000, 2, reply);
+    let tokens: Vec<u64> = three[0].ready().reads.iter().map(|(token, _)| *token).collect();
+    assert_eq!(tokens, [5, 6]);
+    assert!(three[1].read(2_000, 7).is_err());
+}
+
+#[test]
+fn leadership_is_handed_over() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    three[0].transfer(2_000);
+    flow(&mut three, 2_000);
+    assert!(!three[0].is_leader());
+    assert_eq!(three.iter().filter(|replica| replica.is_leader()).count(), 1);
+}
+
+#[test]
+fn one_change_of_members_at_a_time() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    assert!(!three[0].change_members(2_000, members(&[1])), "two replicas at once");
+    assert!(three[0].change_members(2_000, members(&[1, 2])));
+    assert!(!three[0].change_members(2_000, members(&[1])), "the first is not committed");
+    flow(&mut three, 2_000);
+    assert!(three[0].change_members(2_000, members(&[1, 2, 4])));
+}
+
+#[test]
+fn a_replacement_votes_only_with_everything_and_after_the_old_identity_is_gone() {
+    let mut three = vec![replica(1, &[1, 2, 3]), replica(2, &[1, 2, 3]), replica(3, &[1, 2, 3])];
+    elect(&mut three, 0);
+    for token in 0..20 {
+        three[0].propose(2_000, token, vec![0; 100]).unwrap();
+    }
+    flow(&mut three, 2_000);
+    // Replica 3 lost its disk and returns under identity 4.
+    three.pop();
+    three.push(Replica::new(
+        4,
+        Settings::default(),
+        4,
+        0,
+        Restored::default(),
+        &Members::default(),
+    ));
+    let mut plan = Plan::new("h3", 4);
+    let mut seen = Vec::new();
+    for _ in 0..20 {
+        let is_done = plan.next(2_000, &mut three[0]);
+        flow(&mut three, 2_000);
+        let members = three[0].members();
+        seen.push((members.is_voter(3), members.contains(4), members.is_voter(4)));
+        if members.is_voter(4) {
+            assert!(three[2].last_index() >= 21, "voted with {}", three[2].last_index());
+        }
+        if is_done {
+            break;
+        }
+    }
+    seen.dedup();
+    let expected = [(false, false, false), (false, true, false), (false, true, true)];
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn a_wiped_folder_is_a_learner_and_a_first_start_waits_for_all() {
+    let names: Vec<String> = ["a", "b", "c"].map(String::from).to_vec();
+    let peer = |name: &str, is_fresh| Peer { instance: name.into(), is_fresh };
+    assert_eq!(Birth::decide("a", &names, &[peer("b", true)]), Birth::Wait);
+    assert_eq!(Birth::decide("a", &names, &[peer("b", false)]), Birth::Learner);
+    let Birth::Founder(members) = Birth::decide("a", &names, &[peer("b", true), peer("c", true)])
+    else {
+        panic!()
+    };
+    assert!(members.is_voter(founder_id("a")) && members.voters.len() == 3);
+}
+
+#[test]
+fn a_snapshot_covered_by_the_log_drops_nothing() {
+    let entries: Vec<Entry> =
+        (1..=9).map(|index| Entry { term: 1, index, payload: Payload::Empty }).collect();
+    let restored = Restored { entries, ..Restored::default() };
+    let mut follower = Replica::new(2, Settings::default(), 2, 0, restored, &members(&[1, 2, 3]));
+    let data = b"state".to_vec();
+    let chunk = Message::Chunk {
+        term: 1,
+        meta: Meta { index: 5, term: 1, members: members(&[1, 2, 3]) },
+        offset: 0,
+        total: data.len() as u64,
+        digest: *blake3::hash(&data).as_bytes(),
+        data,
+    };
+    follower.receive(1, 1, chunk);
+    assert!(follower.ready().install.is_none());
+    assert_eq!((follower.last_index(), follower.commit()), (9, 5));
+}
+
+#[test]
+fn a_snapshot_with_a_wrong_digest_is_not_installed() {
+    let mut follower = replica(2, &[1, 2, 3]);
+    let chunk = Message::Chunk {
+        term: 1,
+        meta: Meta { index: 5, term: 1, members: members(&[1, 2, 3]) },
+        offset: 0,
+        total: 5,
+        digest: [0; 32],
+        data: b"state".to_vec(),
+    };
+    follower.receive(1, 1, chunk);
+    assert!(follower.ready().install.is_none());
+    assert_eq!(follower.commit(), 0);
+}
--- a/crates/coordination/tests/retry.rs
+++ b/crates/coordination/tests/retry.rs
@@ -1,1 +1,33 @@
-//! Tests.
+//! Tests of retry limits.
+
+use coordination::retry::{Backoff, Bucket, Budget};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    let mut budget = Budget::default();
+    let burst = (0..100).filter(|_| budget.withdraw()).count();
+    assert_eq!(burst, 10);
+    (0..100).for_each(|_| budget.deposit());
+    let earned = (0..100).filter(|_| budget.withdraw()).count();
+    assert!((9..=10).contains(&earned), "{earned}");
+}
+
+#[test]
+fn backoff_grows_and_stays_bounded() {
+    let backoff = Backoff { first_ms: 50, most_ms: 2_000 };
+    let mut rng = StdRng::seed_from_u64(1);
+    for retry in 0..40 {
+        let bound = (50u64 << retry.min(16)).min(2_000);
+        let delay = backoff.delay(retry, &mut rng);
+        assert!((bound.div_ceil(2)..=bound).contains(&delay), "retry {retry}: {delay}");
+    }
+}
+
+#[test]
+fn a_bucket_never_gives_more_than_its_rate_and_burst() {
+    let mut bucket = Bucket::new(5.0, 2.0, 0);
+    let taken = (0..10_000u64).filter(|now| bucket.take(*now)).count();
+    assert!((50..=52).contains(&taken), "{taken}");
+}
--- a/crates/protocol/src/settings/check.rs
+++ b/crates/protocol/src/settings/check.rs
@@ -131,8 +131,9 @@
             ("access.caller_token_file", &self.listen.callers, access.caller_token_file.is_some()),
         ];
         for (key, address, is_set) in keys {
-            let is_loopback = address.parse::<SocketAddr>().is_ok_and(|a| a.ip().is_loopback());
-            if !is_set && !is_loopback {
+            let parsed = address.parse::<SocketAddr>();
+            let is_exposed = parsed.is_ok_and(|address| !address.ip().is_loopback());
+            if !is_set && is_exposed {
                 check.fault(key, format!("absent; required because {address} is not loopback"));
             }
         }
--- /dev/null
+++ b/crates/protocol/tests/backend.rs
@@ -0,0 +1,26 @@
+//! Chat messages from history.
+
+use protocol::backend::messages;
+use serde_json::json;
+
+#[test]
+fn history_becomes_the_conversation() {
+    let history: Vec<Vec<u8>> = [
+        br#"[{"role":"user","content":"rot?"}]"#.to_vec(),
+        b"yes".to_vec(),
+        br#"{"op":"order"}"#.to_vec(),
+        b"ordered".to_vec(),
+    ]
+    .to_vec();
+    let messages = messages(&history, br#"[{"role":"user","content":"thanks"}]"#);
+    assert_eq!(
+        messages,
+        [
+            json!({"role": "user", "content": "rot?"}),
+            json!({"role": "assistant", "content": "yes"}),
+            json!({"role": "assistant", "content": "{\"op\":\"order\"}"}),
+            json!({"role": "tool", "content": "ordered"}),
+            json!({"role": "user", "content": "thanks"}),
+        ]
+    );
+}
--- a/crates/protocol/tests/main.rs
+++ b/crates/protocol/tests/main.rs
@@ -1,1 +1,8 @@
 //! Tests of the protocol layer.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
+
+mod answer;
+mod backend;
+mod settings;
+mod wire;
--- /dev/null
+++ b/crates/state/tests/journal.rs
@@ -0,0 +1,131 @@
+//! The write-ahead log on a real disk.
+
+use state::error::Storage;
+use state::journal::{Journal, Log, Record, Recovered};
+use std::fs::OpenOptions;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+fn entry(index: u64) -> Record {
+    Record::Entry { index, body: vec![u8::try_from(index % 251).unwrap(); 40] }
+}
+
+fn recovered(folder: &Path) -> Recovered {
+    Journal::open(folder).unwrap().1
+}
+
+fn indices(recovered: &Recovered) -> Vec<u64> {
+    recovered.entries.iter().map(|(index, _)| *index).collect()
+}
+
+fn only_file(folder: &Path) -> PathBuf {
+    let mut files: Vec<PathBuf> =
+        std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    assert_eq!(files.len(), 1);
+    files.remove(0)
+}
+
+fn written(count: u64) -> (tempfile::TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    journal.append(&(1..=count).map(entry).collect::<Vec<_>>()).unwrap();
+    let file = only_file(folder.path());
+    (folder, file)
+}
+
+#[test]
+fn what_was_appended_is_read_back() {
+    let (folder, _) = written(9);
+    assert_eq!(indices(&recovered(folder.path())), (1..=9).collect::<Vec<_>>());
+}
+
+#[test]
+fn truncated_entries_do_not_return() {
+    let (folder, _) = written(9);
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    journal.append(&[Record::Truncate(5), entry(5)]).unwrap();
+    assert_eq!(indices(&recovered(folder.path())), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_rewrite_replaces_older_files() {
+    let (folder, _) = written(9);
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    let snapshot = Record::Snapshot { index: 8, meta: vec![1], state: vec![2] };
+    journal.rewrite(&[snapshot, Record::Meta(vec![3]), entry(9)]).unwrap();
+    journal.append(&[entry(10)]).unwrap();
+    only_file(folder.path());
+    let found = recovered(folder.path());
+    assert_eq!(found.snapshot, Some((8, vec![1], vec![2])));
+    assert_eq!(found.meta, Some(vec![3]));
+    assert_eq!(indices(&found), [9, 10]);
+}
+
+#[test]
+fn a_crash_between_rename_and_delete_counts_nothing_twice() {
+    let (folder, old) = written(9);
+    let bytes = std::fs::read(&old).unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    let snapshot = Record::Snapshot { index: 5, meta: vec![], state: vec![] };
+    journal.rewrite(&[snapshot, entry(6), entry(7), entry(8), entry(9)]).unwrap();
+    std::fs::write(&old, bytes).unwrap();
+    assert_eq!(indices(&recovered(folder.path())), [6, 7, 8, 9]);
+}
+
+#[test]
+fn a_torn_tail_is_cut_off_at_every_length() {
+    let (_keep, file) = written(3);
+    let bytes = std::fs::read(&file).unwrap();
+    let record = bytes.len() / 3;
+    for len in 0..bytes.len() {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("00000000.journal"), &bytes[..len]).unwrap();
+        let found = recovered(folder.path());
+        assert_eq!(found.entries.len(), len / record, "cut at {len}");
+        let (mut journal, _) = Journal::open(folder.path()).unwrap();
+        journal.append(&[entry(99)]).unwrap();
+        assert_eq!(recovered(folder.path()).entries.len(), len / record + 1, "cut at {len}");
+    }
+}
+
+#[test]
+fn damage_to_any_byte_is_noticed() {
+    let (_keep, file) = written(3);
+    let bytes = std::fs::read(&file).unwrap();
+    for at in 0..bytes.len() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut damaged = bytes.clone();
+        damaged[at] ^= 0x55;
+        std::fs::write(folder.path().join("00000000.journal"), damaged).unwrap();
+        match Journal::open(folder.path()) {
+            Err(Storage::Damaged { .. }) => {}
+            Err(other) => panic!("byte {at}: {other}"),
+            // A damaged length in the last record looks like a torn write of that record.
+            Ok((_, found)) => {
+                let last = bytes.len() / 3 * 2;
+                assert!(at >= last, "byte {at} of an inner record was not noticed");
+                assert_eq!(indices(&found), [1, 2], "byte {at}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_failed_sync_stops_the_journal_for_good() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    journal.append(&[entry(1)]).unwrap();
+    // A folder that is gone makes the rewrite fail as a full disk would.
+    std::fs::remove_dir_all(folder.path()).unwrap();
+    assert!(journal.rewrite(&[entry(2)]).is_err());
+    assert!(matches!(journal.append(&[entry(3)]), Err(Storage::Stopped)));
+}
+
+#[test]
+fn zeros_after_the_last_record_are_damage_not_entries() {
+    let (folder, file) = written(2);
+    let handle = OpenOptions::new().write(true).open(&file).unwrap();
+    let len = handle.metadata().unwrap().len();
+    handle.write_all_at(&[0; 64], len).unwrap();
+    assert!(matches!(Journal::open(folder.path()), Err(Storage::Damaged { .. })));
+}
