feat(ctl): the command-line tool; test the interfaces with bad input

Change: buckthornctl with its verbs, tables and exit codes; the load query carries the call's digest; tests for bad bodies, tokens, floods, tickets over HTTP, dumps under load, a restart on the old folder and a planted secret.

--- a/crates/coordination/src/entry/flow.rs
+++ b/crates/coordination/src/entry/flow.rs
@@ -42,9 +42,10 @@
         }
         active.stage = Stage::Loading;
         active.op = Some(op);
+        let digest = active.digest;
         self.ops.insert(op, call.clone());
         let known = known.map_or(0, |program| program.history.len());
-        self.outputs.push(Output::Load { op, call: call.clone(), known });
+        self.outputs.push(Output::Load { op, call: call.clone(), digest, known });
     }
 
     pub(crate) fn on_loaded(
--- a/crates/coordination/src/entry/input.rs
+++ b/crates/coordination/src/entry/input.rs
@@ -240,6 +240,8 @@
         op: u64,
         /// The call that needs it.
         call: id::Call,
+        /// Digest of service, content and limits.
+        digest: id::Digest,
         /// History items that are known.
         known: usize,
     },
--- a/crates/coordination/tests/util/world.rs
+++ b/crates/coordination/tests/util/world.rs
@@ -686,8 +686,8 @@
     fn perform(&mut self, host: usize, output: Output) {
         let boot = self.hosts[host].boot;
         match output {
-            Output::Load { op, call, known } => {
-                let query = machine::encode(&program::Query::Load { call, known }).unwrap();
+            Output::Load { op, call, digest, known } => {
+                let query = machine::encode(&program::Query::Load { call, digest, known }).unwrap();
                 self.ask(host, SHARD, Ask::Query(query), Purpose::Load(op, known));
             }
             Output::Submit { op, command, .. } => {
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,221 @@
+//! What each command does.
+
+use crate::arguments::{
+    Arguments, Command, ListAction, ProgramAction, QuarantineAction, TicketAction, TicketApply,
+};
+use crate::call;
+use crate::client::{Client, Request, read_token};
+use crate::error::Error;
+use crate::table::{Column, named_rows, render};
+use protocol::api;
+use reqwest::Method;
+use serde_json::Value;
+use state::control::Ticket;
+use std::path::Path;
+use std::time::Duration;
+
+const TICKETS: [Column; 4] = [
+    ("TICKET", "number"),
+    ("VERSION", "version"),
+    ("IN FORCE", "in_force"),
+    ("OBJECTS", "objects"),
+];
+
+const INSTANCES: [Column; 5] = [
+    ("INSTANCE", "name"),
+    ("FAILURE DOMAIN", "failure_domain"),
+    ("STANDING", "standing"),
+    ("EPOCH", "epoch"),
+    ("CALLERS", "address"),
+];
+
+const SERVERS: [Column; 5] = [
+    ("SERVER", "name"),
+    ("SERVICE", "service"),
+    ("FAILURE DOMAIN", "failure_domain"),
+    ("SLOTS", "slots"),
+    ("ADDRESS", "address"),
+];
+
+const DEPLOYMENTS: [Column; 5] = [
+    ("DEPLOYMENT", "name"),
+    ("FAILURE DOMAINS", "failure_domains"),
+    ("LATENCY", "weights.latency"),
+    ("CACHE", "weights.cache"),
+    ("SERVERS", "servers"),
+];
+
+const PROGRAMS: [Column; 7] = [
+    ("DEPLOYMENT", "program.deployment"),
+    ("PROGRAM", "program.name"),
+    ("NEXT", "next_seq"),
+    ("ENDED", "is_closed"),
+    ("TOKENS", "budget.spent.tokens"),
+    ("OF", "budget.limit.tokens"),
+    ("HELD ON", "held"),
+];
+
+const QUARANTINE: [Column; 3] =
+    [("DIGEST", "digest"), ("UNTIL (MS)", "until_ms"), ("CRASHED", "servers")];
+
+const STATUS: [Column; 9] = [
+    ("INSTANCE", "name"),
+    ("FAILURE DOMAIN", "failure_domain"),
+    ("ANSWERS", "is_reachable"),
+    ("LEASE (MS)", "lease_ms"),
+    ("VERSION", "version"),
+    ("IN FORCE", "in_force"),
+    ("LEADS", "leads"),
+    ("CALLS", "calls"),
+    ("QUEUED", "queued"),
+];
+
+/// Runs a command and returns what to print.
+pub(crate) async fn run(arguments: Arguments) -> Result<String, Error> {
+    let addresses: Vec<String> =
+        arguments.operators.split(',').map(|address| address.trim().to_owned()).collect();
+    let client = Client::new(addresses, read_token(arguments.token_file.as_deref())?)?;
+    let is_json = arguments.json;
+    match arguments.command {
+        Command::Ticket(ticket) => match ticket.action {
+            TicketAction::Apply(apply) => apply_ticket(&client, &apply, is_json).await,
+            TicketAction::Show(show) => {
+                let status = get(&client, format!("/v1/tickets/{}", show.number)).await?;
+                Ok(shown(is_json, &TICKETS, vec![status]))
+            }
+            TicketAction::List(_) => list(&client, "/v1/tickets", is_json, &TICKETS).await,
+        },
+        Command::Deployment(command) => {
+            let ListAction::List(_) = command.action;
+            configured(&client, "deployments", is_json, &DEPLOYMENTS).await
+        }
+        Command::Server(command) => {
+            let ListAction::List(_) = command.action;
+            configured(&client, "servers", is_json, &SERVERS).await
+        }
+        Command::Instance(command) => {
+            let ListAction::List(_) = command.action;
+            let rows = named_rows(&get(&client, "/v1/instances".into()).await?);
+            Ok(shown(is_json, &INSTANCES, rows))
+        }
+        Command::Program(program) => programs(&client, program.action, is_json).await,
+        Command::Quarantine(quarantine) => match quarantine.action {
+            QuarantineAction::List(_) => {
+                list(&client, "/v1/quarantine", is_json, &QUARANTINE).await
+            }
+            QuarantineAction::Lift(lift) => {
+                let path = format!("/v1/quarantine/{}", lift.digest);
+                done(&client, Method::DELETE, path, "lifted").await
+            }
+        },
+        Command::Drain(drain) => {
+            let path = format!("/v1/drain/{}?undo={}", drain.instance, drain.undo);
+            let word = if drain.undo { "live again" } else { "draining" };
+            done(&client, Method::POST, path, word).await
+        }
+        Command::Dump(dump) => {
+            let section = dump.section.map_or(String::new(), |s| format!("?section={s}"));
+            let dump = get(&client, format!("/v1/dump/{}{section}", dump.instance)).await?;
+            Ok(pretty(&dump))
+        }
+        Command::Call(by_hand) => {
+            let answer = call::run(&client, by_hand).await?;
+            let content = answer["content"].as_str().unwrap_or_default().to_owned();
+            Ok(if is_json { pretty(&answer) } else { content })
+        }
+        Command::Status(_) => list(&client, "/v1/status", is_json, &STATUS).await,
+    }
+}
+
+async fn get(client: &Client, path: String) -> Result<Value, Error> {
+    client.send(&Request::new(Method::GET, path)).await
+}
+
+async fn list(
+    client: &Client,
+    path: &str,
+    is_json: bool,
+    columns: &[Column],
+) -> Result<String, Error> {
+    let rows = get(client, path.to_owned()).await?;
+    Ok(shown(is_json, columns, rows.as_array().cloned().unwrap_or_default()))
+}
+
+async fn configured(
+    client: &Client,
+    class: &str,
+    is_json: bool,
+    columns: &[Column],
+) -> Result<String, Error> {
+    let config = get(client, "/v1/config".into()).await?;
+    Ok(shown(is_json, columns, named_rows(&config[class])))
+}
+
+async fn done(client: &Client, method: Method, path: String, word: &str) -> Result<String, Error> {
+    client.send(&Request::new(method, path)).await?;
+    Ok(word.to_owned())
+}
+
+async fn programs(client: &Client, action: ProgramAction, is_json: bool) -> Result<String, Error> {
+    match action {
+        ProgramAction::List(wanted) => {
+            let query = wanted.deployment.map_or(String::new(), |d| format!("?deployment={d}"));
+            list(client, &format!("/v1/programs{query}"), is_json, &PROGRAMS).await
+        }
+        ProgramAction::Show(show) => {
+            let path = format!("/v1/programs/{}", checked(&show.program)?);
+            list(client, &path, is_json, &PROGRAMS).await
+        }
+        ProgramAction::Cancel(cancel) => {
+            let path = format!("/v1/programs/{}", checked(&cancel.program)?);
+            done(client, Method::DELETE, path, "cancelled").await
+        }
+    }
+}
+
+fn checked(program: &str) -> Result<&str, Error> {
+    match program.split_once('/') {
+        Some((deployment, name)) if !deployment.is_empty() && !name.is_empty() => Ok(program),
+        _ => Err(Error::Usage(format!("program {program:?}; accepted: DEPLOYMENT/PROGRAM"))),
+    }
+}
+
+async fn apply_ticket(
+    client: &Client,
+    apply: &TicketApply,
+    is_json: bool,
+) -> Result<String, Error> {
+    let ticket = read_ticket(&apply.file)?;
+    let body = serde_json::to_value(&ticket).map_err(|error| Error::Usage(error.to_string()))?;
+    let path = format!("/v1/tickets?wait_ms={}", apply.wait);
+    let wait = Duration::from_millis(apply.wait);
+    let request = Request { body: Some(body), wait, ..Request::new(Method::POST, path) };
+    let answer = client.send(&request).await?;
+    let is_in_force =
+        serde_json::from_value::<api::Ticket>(answer.clone()).is_ok_and(|status| status.in_force);
+    if apply.wait > 0 && !is_in_force {
+        return Err(Error::NotInForce(ticket.number));
+    }
+    Ok(shown(is_json, &TICKETS, vec![answer]))
+}
+
+fn read_ticket(path: &Path) -> Result<Ticket, Error> {
+    let usage = |error: String| Error::Usage(format!("{}: {error}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|error| usage(error.to_string()))?;
+    let is_json = path.extension().is_some_and(|extension| extension == "json");
+    match is_json {
+        true => serde_json::from_str(&text).map_err(|error| usage(error.to_string())),
+        false => toml::from_str(&text).map_err(|error| usage(error.to_string())),
+    }
+}
+
+fn shown(is_json: bool, columns: &[Column], rows: Vec<Value>) -> String {
+    match is_json {
+        true => pretty(&Value::Array(rows)),
+        false => render(columns, &rows),
+    }
+}
+
+fn pretty(value: &Value) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
--- a/crates/state/src/program/command.rs
+++ b/crates/state/src/program/command.rs
@@ -196,6 +196,8 @@
     Load {
         /// The call.
         call: id::Call,
+        /// Digest of service, content and limits.
+        digest: id::Digest,
         /// History items that the entry has.
         known: usize,
     },
--- a/crates/state/src/program/shard.rs
+++ b/crates/state/src/program/shard.rs
@@ -407,12 +407,20 @@
         })
     }
 
-    fn load_call(&self, call: &id::Call, known: usize) -> Result<View, Storage> {
+    fn load_call(
+        &self,
+        call: &id::Call,
+        digest: &id::Digest,
+        known: usize,
+    ) -> Result<View, Storage> {
         let Some(program) = self.programs.get(&call.program) else {
             let detail = format!("no program {}", call.program);
             return Ok(View::Refused(refusal(Kind::UnknownProgram, detail)));
         };
         if let Some(entry) = program.entry(call.seq) {
+            if entry.digest != *digest {
+                return Ok(View::Refused(refusal(Kind::Conflict, differs(call))));
+            }
             return Ok(View::Answer(self.recorded(entry)?));
         }
         let summary = Box::new(summary(&call.program, program));
@@ -491,7 +499,7 @@
     pub fn view(&self, query: &Query) -> Result<View, Storage> {
         Ok(match query {
             Query::Answer(call) => View::Answer(self.answer(call)?),
-            Query::Load { call, known } => self.load_call(call, *known)?,
+            Query::Load { call, digest, known } => self.load_call(call, digest, *known)?,
             Query::Program(id) => match self.programs.get(id) {
                 Some(program) => View::Programs(vec![summary(id, program)]),
                 None => View::Refused(refusal(Kind::UnknownProgram, format!("no program {id}"))),
--- a/crates/transport/src/actor.rs
+++ b/crates/transport/src/actor.rs
@@ -144,10 +144,10 @@
 
     fn perform(&mut self, output: Output) {
         match output {
-            Output::Load { op, call, known } => {
+            Output::Load { op, call, digest, known } => {
                 let (journal, inputs) = (self.journal.clone(), self.inputs.clone());
                 tokio::spawn(async move {
-                    let result = journal.load(&call, known).await;
+                    let result = journal.load(&call, digest, known).await;
                     drop(inputs.send(Input::Loaded { op, result }).await);
                 });
             }
--- a/crates/transport/src/journal.rs
+++ b/crates/transport/src/journal.rs
@@ -93,9 +93,10 @@
     pub(crate) async fn load(
         &self,
         call: &id::Call,
+        digest: id::Digest,
         known: usize,
     ) -> Result<Result<Box<entry::Loaded>, program::Reply>, entry::Unreachable> {
-        let query = program::Query::Load { call: call.clone(), known };
+        let query = program::Query::Load { call: call.clone(), digest, known };
         match self.query(self.group(&call.program), &query).await {
             Ok(program::View::Loaded { summary, history }) => {
                 Ok(Ok(Box::new(entry::Loaded { summary: *summary, known, history })))
--- a/crates/transport/tests/main.rs
+++ b/crates/transport/tests/main.rs
@@ -1,1 +1,9 @@
-//! Tests of the transport layer.
+//! Tests of the transport layer, with one instance inside the test process.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
+
+mod access;
+mod bad_input;
+mod operators;
+mod secrets;
+mod util;
