--- a/crates/coordination/src/consensus/leader.rs
+++ b/crates/coordination/src/consensus/leader.rs
@@ -13,6 +13,8 @@
     pub(crate) tokens: BTreeMap<u64, u64>,
     reads: VecDeque<Read>,
     round: u64,
+    /// Whether reads wait for a round that has not been sent.
+    owes_round: bool,
     heartbeat_due: Millis,
     since: Millis,
 }
@@ -68,6 +70,7 @@
             tokens: BTreeMap::new(),
             reads: VecDeque::new(),
             round: 0,
+            owes_round: false,
             heartbeat_due: self.now,
             since: self.now,
         }));
@@ -319,15 +322,25 @@
         let is_established = self.is_established();
         let commit = self.commit;
         let leadership = self.leadership().ok_or(NotLeader(known))?;
-        leadership.round += 1;
         // Before the first own commit the true commit index is not known.
         let index = if is_established { commit } else { index };
-        leadership.reads.push_back(Read { token, index, round: leadership.round });
-        self.send_appends(true);
-        self.confirm_reads();
+        leadership.owes_round = true;
+        leadership.reads.push_back(Read { token, index, round: leadership.round + 1 });
         Ok(())
     }
 
+    /// Sends one round of heartbeats for all reads that came since the last one.
+    pub(crate) fn send_owed_round(&mut self) {
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        if std::mem::take(&mut leadership.owes_round) {
+            leadership.round += 1;
+            self.send_appends(true);
+            self.confirm_reads();
+        }
+    }
+
     fn confirm_reads(&mut self) {
         let (id, quorum, commit) = (self.id, self.members.quorum(), self.commit);
         let voters: Vec<Id> = self.members.voters.keys().copied().collect();
--- a/crates/coordination/src/consensus/replica.rs
+++ b/crates/coordination/src/consensus/replica.rs
@@ -321,6 +321,7 @@
 
     /// Takes what the caller must do.
     pub fn ready(&mut self) -> Ready {
+        self.send_owed_round();
         self.deliver();
         std::mem::take(&mut self.ready)
     }
--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -195,6 +195,21 @@
     assert_eq!(seen, expected);
 }
 
+#[test]
+fn a_learner_that_hears_nothing_does_not_vote() {
+    let mut three = vec![replica(1, &[1, 2, 3]), replica(2, &[1, 2, 3]), replica(3, &[1, 2, 3])];
+    elect(&mut three, 0);
+    // Replica 3 lost its disk; identity 4 joins but no message reaches it.
+    three.pop();
+    let mut plan = Plan::new("h3", 4);
+    for _ in 0..20 {
+        assert!(!plan.next(2_000, &mut three[0]));
+        flow(&mut three, 2_000);
+    }
+    let members = three[0].members();
+    assert!(members.contains(4) && !members.is_voter(4), "{members:?}");
+}
+
 #[test]
 fn a_wiped_folder_is_a_learner_and_a_first_start_waits_for_all() {
     let names: Vec<String> = ["a", "b", "c"].map(String::from).to_vec();
--- a/crates/standins/src/bin/bench.rs
+++ b/crates/standins/src/bin/bench.rs
@@ -2,7 +2,6 @@
 
 use argh::FromArgs;
 use coordination::entry::policy::Name;
-use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 use standins::caller::{self, Crowd, Outcome, Record};
 use standins::check::{self, Counts};
@@ -65,6 +64,15 @@
     /// measure what the system adds to a call, at so many calls a second, and nothing else
     #[argh(option)]
     added: Option<u64>,
+    /// measure an idle deployment for so many seconds, and nothing else
+    #[argh(option)]
+    idle: Option<u64>,
+    /// entry instances; 0 for today's
+    #[argh(option, default = "0")]
+    instances: usize,
+    /// engines; 0 for today's
+    #[argh(option, default = "0")]
+    engines: usize,
     /// one JSON line a run, and nothing else
     #[argh(switch)]
     json: bool,
@@ -131,7 +139,10 @@
     ];
     let engine_arguments =
         words.iter().flat_map(|(word, value)| [(*word).to_owned(), value.to_string()]).collect();
-    Ok(Plan { policy, engine_arguments, ..plan })
+    let instances = if arguments.instances == 0 { plan.instances } else { arguments.instances };
+    let engines = if arguments.engines == 0 { plan.model.1 } else { arguments.engines };
+    let model = (plan.model.0.clone(), engines);
+    Ok(Plan { policy, engine_arguments, instances, model, ..plan })
 }
 
 fn shape() -> Shape {
@@ -186,6 +197,10 @@
     if let Some(rate) = arguments.added {
         return Ok((probe::added(&cluster, &http, rate).await, Counts::default()));
     }
+    if let Some(seconds) = arguments.idle {
+        let time = Duration::from_secs(seconds);
+        return Ok((probe::idle(&cluster, &http, time).await, Counts::default()));
+    }
     let latency = if arguments.deployment == "magnolia" { 1 } else { 3 };
     let crowd = Crowd::new(&cluster, http.clone(), Duration::from_millis(latency));
     let rate = arguments.load * capacity(&cluster.plan, arguments.seed);
@@ -280,9 +295,7 @@
 }
 
 fn percentiles(values: impl Iterator<Item = Duration>) -> Value {
-    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
-        return Value::Null;
-    };
+    let mut histogram = probe::histogram();
     for value in values {
         let micros = u64::try_from(value.as_micros()).unwrap_or(u64::MAX);
         histogram.saturating_record(micros);
--- a/crates/standins/src/probe.rs
+++ b/crates/standins/src/probe.rs
@@ -45,6 +45,54 @@
     line.split_whitespace().nth(1)?.parse().ok()
 }
 
+/// Mean cost of one instance while nobody calls, with and without a disk.
+pub async fn idle(cluster: &Cluster, http: &reqwest::Client, time: Duration) -> Value {
+    let before = costs(cluster, http).await;
+    tokio::time::sleep(time).await;
+    let after = costs(cluster, http).await;
+    let disks = cluster.plan.disks;
+    let mean = |range: std::ops::Range<usize>| {
+        let count = range.len().max(1) as f64;
+        let seconds = time.as_secs_f64() * count;
+        let sum = |pick: &dyn Fn(&Cost) -> f64| -> f64 {
+            range.clone().map(|at| pick(&after[at]) - pick(&before[at])).sum()
+        };
+        let resident: f64 = range.clone().map(|at| after[at].resident_kib).sum();
+        json!({
+            "core_percent": sum(&|cost| cost.cpu_ms) / seconds / 10.0,
+            "resident_mb": resident / count / 1_024.0,
+            "kb_per_s": sum(&|cost| cost.bytes) / seconds / 1_024.0,
+        })
+    };
+    let servers = cluster.seed.servers.len();
+    json!({
+        "instances": cluster.instances.len(), "servers": servers, "seconds": time.as_secs(),
+        "with_disk": mean(0..disks), "without_disk": mean(disks..cluster.instances.len()),
+    })
+}
+
+/// What one instance has used so far.
+struct Cost {
+    cpu_ms: f64,
+    resident_kib: f64,
+    bytes: f64,
+}
+
+async fn costs(cluster: &Cluster, http: &reqwest::Client) -> Vec<Cost> {
+    let rows = cluster.status(http).await;
+    let of = |(at, instance): (usize, &crate::cluster::Instance)| {
+        let row = rows.iter().find(|row| row["name"] == instance.name.as_str());
+        let number = |key: &str| row.and_then(|row| row[key].as_f64()).unwrap_or(0.0);
+        let pid = cluster.pid(at);
+        Cost {
+            cpu_ms: pid.and_then(cpu_of).unwrap_or(0.0),
+            resident_kib: pid.and_then(resident_kib).unwrap_or(0) as f64,
+            bytes: number("bytes_sent") + number("bytes_received"),
+        }
+    };
+    cluster.instances.iter().enumerate().map(of).collect()
+}
+
 /// Share of the sessions held by engines that belong to ended programs.
 #[derive(Debug, Default)]
 pub struct HeldShare {
@@ -118,12 +166,35 @@
         let (direct, through) = (direct.quantile(quantile), through.quantile(quantile));
         json!({ "direct": direct, "through": through, "added": through - direct })
     };
+    let journals = journals(cluster, http).await;
     json!({
-        "rate": rate, "failed": through.failed,
+        "rate": rate, "failed": through.failed, "journals": journals,
         "p50_ms": cell(0.5), "p95_ms": cell(0.95), "p99_ms": cell(0.99),
     })
 }
 
+/// Mean time of a sync and bytes and syncs so far, for each replica.
+async fn journals(cluster: &Cluster, http: &reqwest::Client) -> Vec<Value> {
+    let mut rows = Vec::new();
+    for instance in cluster.instances.iter().take(cluster.plan.disks) {
+        let url = format!("http://{}/dump?section=journals", instance.operators);
+        let Ok(response) = http.get(url).send().await else {
+            continue;
+        };
+        let journals: Vec<Value> = response.json().await.unwrap_or_default();
+        for journal in journals {
+            let number = |key: &str| journal[key].as_f64().unwrap_or(0.0);
+            rows.push(json!({
+                "instance": instance.name, "group": journal["group"],
+                "is_leader": journal["is_leader"],
+                "sync_ms": number("sync_micros") / number("syncs").max(1.0) / 1_000.0,
+                "syncs": journal["syncs"], "bytes": journal["bytes_written"],
+            }));
+        }
+    }
+    rows
+}
+
 async fn open_programs(cluster: &Cluster, http: &reqwest::Client) {
     for program in 0..PROGRAMS {
         let open = Open {
@@ -139,6 +210,18 @@
     }
 }
 
+/// Longest time that is told apart, in microseconds.
+const MOST_MICROS: u64 = 600_000_000;
+
+/// An empty histogram of microseconds with three digits.
+///
+/// # Panics
+///
+/// Never: the bounds are constants that the histogram accepts.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MOST_MICROS, 3).expect("constant bounds")
+}
+
 /// Times of requests.
 struct Times {
     micros: Histogram<u64>,
@@ -153,8 +236,7 @@
 
 /// Sends requests at a fixed rate, whether earlier ones are answered or not.
 async fn paced(rate: u64, request: impl Fn(u64) -> reqwest::RequestBuilder) -> Times {
-    let mut times =
-        Times { micros: Histogram::new(3).unwrap_or_else(|_| unreachable!()), failed: 0 };
+    let mut times = Times { micros: histogram(), failed: 0 };
     let mut running = JoinSet::new();
     let mut interval =
         tokio::time::interval(Duration::from_secs(1) / u32::try_from(rate).unwrap_or(1).max(1));
--- a/crates/transport/src/controller.rs
+++ b/crates/transport/src/controller.rs
@@ -5,7 +5,6 @@
 //! leader that was replaced without knowing grants nothing.
 
 use crate::clock::Clock;
-use crate::journal::Journal;
 use crate::replica::{Handle, Outcome};
 use coordination::lease::{Registry, Settings};
 use coordination::retry::Bucket;
@@ -35,6 +34,8 @@
 struct Term {
     number: u64,
     since: u64,
+    /// Applied index of the snapshot below.
+    refreshed: Option<u64>,
     registry: Registry,
     snapshot: Snapshot,
     in_force: u64,
@@ -50,7 +51,6 @@
     loads_per_second: f64,
     seed: Config,
     control: Handle,
-    journal: Arc<Journal>,
     client: reqwest::Client,
     term: Mutex<Option<Term>>,
 }
@@ -60,7 +60,6 @@
         settings: &protocol::settings::Settings,
         clock: Clock,
         control: Handle,
-        journal: Arc<Journal>,
         client: reqwest::Client,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -69,7 +68,6 @@
             loads_per_second: settings.platform.loads_per_second,
             seed: settings.seed.clone(),
             control,
-            journal,
             client,
             term: Mutex::new(None),
         })
@@ -104,6 +102,7 @@
             *term = Some(Term {
                 number: status.term,
                 since: now,
+                refreshed: None,
                 registry: Registry::new(self.settings, now),
                 snapshot: Snapshot::default(),
                 in_force: 0,
@@ -121,20 +120,42 @@
         term.as_mut().map(|term| action(term, now))
     }
 
-    /// Reads the newest control state through the quorum.
+    /// Reads the applied control state, if it has changed.
+    ///
+    /// It may be stale on a leader that was replaced, but what such a leader proposes is
+    /// never committed.
     async fn refresh(&self) {
-        if let Some(snapshot) = self.snapshot().await {
+        let applied = self.control.status.borrow().applied;
+        let is_known = self.with_term(|term, _| term.refreshed == Some(applied));
+        if is_known != Some(false) {
+            self.with_term(|term, now| {
+                term.in_force = term.registry.in_force(now, &term.snapshot);
+            });
+            return;
+        }
+        let Ok(query) = machine::encode(&Query::Snapshot) else {
+            return;
+        };
+        if let Some(View::Snapshot(snapshot)) = self.peek(query).await {
             let is_new = snapshot.revision == 0 && snapshot.config == Config::default();
             if is_new && self.seed != Config::default() {
                 self.submit(&Command::Seed(self.seed.clone())).await;
             }
             self.with_term(|term, now| {
-                term.snapshot = snapshot;
+                term.snapshot = *snapshot;
+                term.refreshed = Some(applied);
                 term.in_force = term.registry.in_force(now, &term.snapshot);
             });
         }
     }
 
+    async fn peek(&self, query: Vec<u8>) -> Option<View> {
+        match self.control.peek(query).await {
+            Outcome::Data(view) => machine::decode(&view).ok(),
+            _ => None,
+        }
+    }
+
     async fn snapshot(&self) -> Option<Snapshot> {
         let query = machine::encode(&Query::Snapshot).ok()?;
         let Outcome::Data(view) = self.control.query(query).await else {
@@ -166,10 +187,7 @@
         let Ok(query) = machine::encode(&Query::Pending { limit: TICKETS }) else {
             return;
         };
-        let Outcome::Data(view) = self.control.query(query).await else {
-            return;
-        };
-        let Ok(View::Tickets(tickets)) = machine::decode(&view) else {
+        let Some(View::Tickets(tickets)) = self.peek(query).await else {
             return;
         };
         let in_force = self.with_term(|term, _| term.in_force).unwrap_or(0);
@@ -188,10 +206,10 @@
         if may_order != Some(true) {
             return;
         }
-        let Ok(view) = self.journal.query_control(&Query::Orders).await else {
+        let Ok(query) = machine::encode(&Query::Orders) else {
             return;
         };
-        let View::Orders(orders) = view else {
+        let Some(View::Orders(orders)) = self.peek(query).await else {
             return;
         };
         for (server, order) in orders.into_iter().filter(|(_, order)| !order.is_done) {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -18,6 +18,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -53,6 +54,28 @@
     request: Request,
 }
 
+/// Bytes of frames, sent and received, without HTTP headers.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Traffic {
+    pub(crate) fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    fn note(counter: &AtomicU64, frame: &Frame) {
+        let bytes = frame.body.len() + frame.mac.len();
+        counter.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
 struct Link {
     client: HttpClient,
     queue: mpsc::Sender<Envelope>,
@@ -63,6 +86,7 @@
     name: String,
     key: Key,
     links: Map<String, Link>,
+    traffic: Traffic,
     handler: OnceLock<Arc<dyn Handler>>,
 }
 
@@ -82,7 +106,13 @@
             links.insert(peer.name.clone(), Link { client, queue });
         }
         let name = settings.name.clone();
-        let links = Arc::new(Self { name, key, links, handler: OnceLock::new() });
+        let links = Arc::new(Self {
+            name,
+            key,
+            links,
+            traffic: Traffic::default(),
+            handler: OnceLock::new(),
+        });
         for (peer, inbox) in queues {
             tokio::spawn(forward(Arc::downgrade(&links), peer, inbox));
         }
@@ -99,6 +129,11 @@
         std::iter::once(&self.name).chain(self.links.keys()).cloned().collect()
     }
 
+    /// Bytes exchanged with other instances.
+    pub(crate) fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Queues a journal message.
     pub(crate) fn send(&self, to: &str, envelope: Envelope) {
         if let Some(link) = self.links.get(to) {
@@ -121,19 +156,25 @@
         let link = self.links.get(to).ok_or(Unreachable)?;
         let addressed = Addressed { from: self.name.clone(), request };
         let frame = Frame::seal(&self.key, &addressed).map_err(|_| Unreachable)?;
+        Traffic::note(&self.traffic.sent, &frame);
         let answer = link.client.request::<Frame, _>(wire::METHOD, rpc_params![frame]);
         let frame = tokio::time::timeout(timeout, answer).await.map_err(|_| Unreachable)?;
-        frame.map_err(|_| Unreachable)?.open(&self.key).map_err(|_| Unreachable)
+        let frame = frame.map_err(|_| Unreachable)?;
+        Traffic::note(&self.traffic.received, &frame);
+        frame.open(&self.key).map_err(|_| Unreachable)
     }
 
     async fn answer(&self, frame: Frame) -> Result<Frame, ErrorObjectOwned> {
         let refuse = |text: String| ErrorObjectOwned::owned(-32_001, text, None::<()>);
+        Traffic::note(&self.traffic.received, &frame);
         let addressed: Addressed =
             frame.open(&self.key).map_err(|error| refuse(error.to_string()))?;
         let handler = self.handler.get().cloned();
         let handler = handler.ok_or_else(|| refuse("the instance is starting".into()))?;
         let response = handler.handle(addressed.from, addressed.request).await;
-        Frame::seal(&self.key, &response).map_err(|error| refuse(error.to_string()))
+        let frame = Frame::seal(&self.key, &response).map_err(|error| refuse(error.to_string()))?;
+        Traffic::note(&self.traffic.sent, &frame);
+        Ok(frame)
     }
 
     /// Serves the other instances until the handle is dropped.
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -186,6 +186,7 @@
     entry: actor::Handle,
     groups: Map<u32, Handle>,
     controller: Option<Arc<Controller>>,
+    links: Arc<Links>,
     clock: Clock,
 }
 
@@ -237,6 +238,8 @@
             "calls": view.calls,
             "leads": leads,
             "lag": lag,
+            "bytes_sent": self.links.traffic().sent(),
+            "bytes_received": self.links.traffic().received(),
             "faults": faults,
         })
     }
@@ -302,9 +305,9 @@
         let entry = Entry::new(settings.entry.clone(), clock.epoch_ms(), seed);
         let entry = actor::start(entry, journal.clone(), client.clone(), metrics.clone());
         let groups = start_replicas(&settings, clock, &links, &shared).await?;
-        let controller = groups.get(&CONTROL).map(|control| {
-            Controller::new(&settings, clock, control.clone(), journal.clone(), client.http.clone())
-        });
+        let controller = groups
+            .get(&CONTROL)
+            .map(|control| Controller::new(&settings, clock, control.clone(), client.http.clone()));
         if let Some(controller) = &controller {
             drop(shared.controller.set(controller.clone()));
             tokio::spawn(controller.clone().run());
@@ -314,6 +317,7 @@
             entry: entry.clone(),
             groups: groups.clone(),
             controller,
+            links: links.clone(),
             clock,
         });
         drop(shared.inspect.set(inspect.clone()));
--- a/crates/transport/src/release.rs
+++ b/crates/transport/src/release.rs
@@ -8,10 +8,11 @@
 use crate::clock::Clock;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::replica::Handle;
+use crate::replica::{Handle, Outcome};
 use protocol::settings;
 use state::collections::Map;
 use state::id;
+use state::machine;
 use state::program::{Command, Query, Summary, View as Rows};
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,9 +68,18 @@
         self.groups.get(&group).is_some_and(Handle::leads)
     }
 
+    /// Queries the applied state; a program that it shows as ended stays ended.
+    async fn peek(&self, group: u32, query: &Query) -> Option<Rows> {
+        let query = machine::encode(query).ok()?;
+        match self.groups.get(&group)?.peek(query).await {
+            Outcome::Data(view) => machine::decode(&view).ok(),
+            Outcome::NotLeader(_) | Outcome::Unknown => None,
+        }
+    }
+
     async fn release_ended(&self, group: u32) -> usize {
         let query = Query::Backlog { limit: BATCH };
-        let Ok(Rows::Backlog(rows)) = self.journal.query(group, &query).await else {
+        let Some(Rows::Backlog(rows)) = self.peek(group, &query).await else {
             return 0;
         };
         let count = rows.len();
@@ -80,7 +90,7 @@
     /// Releases what open programs hold where the rules in force no longer allow them.
     async fn release_forbidden(&self, group: u32) {
         let query = Query::List { deployment: None, limit: usize::MAX };
-        let Ok(Rows::Programs(programs)) = self.journal.query(group, &query).await else {
+        let Some(Rows::Programs(programs)) = self.peek(group, &query).await else {
             return;
         };
         let snapshot = self.view.borrow().snapshot.clone();
--- a/crates/transport/src/replica.rs
+++ b/crates/transport/src/replica.rs
@@ -36,12 +36,31 @@
 
 /// Work for the thread.
 pub(crate) enum Job {
-    Messages { instance: String, messages: Vec<(Id, Message)> },
-    Submit { command: Vec<u8>, reply: oneshot::Sender<Outcome> },
-    Query { query: Vec<u8>, reply: oneshot::Sender<Outcome> },
-    Join { instance: String, id: Id },
+    Messages {
+        instance: String,
+        messages: Vec<(Id, Message)>,
+    },
+    Submit {
+        command: Vec<u8>,
+        reply: oneshot::Sender<Outcome>,
+    },
+    Query {
+        query: Vec<u8>,
+        reply: oneshot::Sender<Outcome>,
+    },
+    /// A query of the applied state, which may be older than the journal.
+    Peek {
+        query: Vec<u8>,
+        reply: oneshot::Sender<Outcome>,
+    },
+    Join {
+        instance: String,
+        id: Id,
+    },
     Transfer,
-    Dump { reply: oneshot::Sender<String> },
+    Dump {
+        reply: oneshot::Sender<String>,
+    },
 }
 
 /// What the process sees of a replica.
@@ -87,6 +106,15 @@
         answer.await.unwrap_or(Outcome::Unknown)
     }
 
+    /// Queries the applied state without asking a quorum.
+    pub(crate) async fn peek(&self, query: Vec<u8>) -> Outcome {
+        let (reply, answer) = oneshot::channel();
+        if self.jobs.send(Job::Peek { query, reply }).is_err() {
+            return Outcome::NotLeader(None);
+        }
+        answer.await.unwrap_or(Outcome::Unknown)
+    }
+
     /// Whether it leads and knows every committed entry.
     pub(crate) fn leads(&self) -> bool {
         self.status.borrow().is_established
@@ -216,6 +244,10 @@
                     Err(_) => drop(reply.send(Outcome::NotLeader(self.leader_name()))),
                 }
             }
+            Job::Peek { query, reply } => {
+                let view = self.machine.query(&query).map_or(Outcome::Unknown, Outcome::Data);
+                drop(reply.send(view));
+            }
             Job::Join { instance, id } => {
                 let plan = Plan::new(&instance, id);
                 self.plans.entry(id).or_insert(plan);
