--- a/crates/coordination/src/entry/core.rs
+++ b/crates/coordination/src/entry/core.rs
@@ -189,6 +189,13 @@
         self.epoch_ms + self.now
     }
 
+    /// Ends the operation `op`; returns its call if that is still under way.
+    pub(crate) fn take_op(&mut self, op: u64) -> Option<id::Call> {
+        let call = self.ops.remove(&op)?;
+        self.calls.get_mut(&call)?.op = None;
+        Some(call)
+    }
+
     pub(crate) fn next_id(&mut self) -> u64 {
         self.next_id += 1;
         self.next_id
@@ -383,6 +390,7 @@
         Job {
             arrival: active.arrival,
             since: active.since,
+            opened_ms: program.map_or(0, |program| program.opened_ms),
             deadline,
             attained_tokens: program.map_or(0, |program| program.attained_tokens),
             prompt_tokens: self.prompt_tokens(active),
--- /dev/null
+++ b/crates/coordination/src/entry/loading.rs
@@ -0,0 +1,180 @@
+//! Loading programs, and the cache of their histories.
+
+use crate::Millis;
+use crate::entry::call::{Cached, Stage};
+use crate::entry::core::Entry;
+use crate::entry::input::{Loaded, Output, Unreachable, refused};
+use state::error::{Kind, Ran};
+use state::id;
+use state::program::{Reply, Summary, Verdict};
+use std::sync::Arc;
+
+impl Entry {
+    /// Loads the call's program, unless it is known to be at this call.
+    pub(crate) fn load(&mut self, call: &id::Call) {
+        let known = self.programs.get(&call.program).cloned();
+        let op = self.next_id();
+        let Some(active) = self.calls.get_mut(call) else {
+            return;
+        };
+        active.due = None;
+        if let Some(program) = known.as_ref().filter(|program| program.next_seq == call.seq)
+            && active.attempt == 0
+        {
+            active.program = Some(program.clone());
+            active.stage = Stage::Queued;
+            return;
+        }
+        active.stage = Stage::Loading;
+        active.op = Some(op);
+        let digest = active.digest;
+        self.ops.insert(op, call.clone());
+        let known = known.map_or(0, |program| program.history.len());
+        self.outputs.push(Output::Load { op, call: call.clone(), digest, known });
+    }
+
+    pub(crate) fn on_loaded(
+        &mut self,
+        op: u64,
+        result: Result<Result<Box<Loaded>, Reply>, Unreachable>,
+    ) {
+        let Some(call) = self.take_op(op) else {
+            return;
+        };
+        match result {
+            Err(Unreachable) => self.wait(&call, self.settings.journal_retry_ms),
+            Ok(Err(reply)) => self.on_decided(&call, reply),
+            Ok(Ok(loaded)) => self.on_program(&call, *loaded),
+        }
+    }
+
+    pub(crate) fn on_program(&mut self, call: &id::Call, loaded: Loaded) {
+        let summary = &loaded.summary;
+        let next_seq = summary.next_seq;
+        if summary.is_closed {
+            self.finish_refused(call, Kind::Closed, "the program has ended");
+            return;
+        }
+        let Some(history) = self.extend_history(&call.program, &loaded) else {
+            self.forget(&call.program);
+            self.load(call);
+            return;
+        };
+        let cached = Arc::new(to_cached(loaded.summary, history));
+        self.remember(&call.program, cached.clone());
+        if call.seq > next_seq {
+            self.wait_for_predecessor(call, next_seq);
+            return;
+        }
+        let Some(active) = self.calls.get_mut(call) else {
+            return;
+        };
+        active.program = Some(cached);
+        active.stage = Stage::Queued;
+    }
+
+    pub(crate) fn wait_for_predecessor(&mut self, call: &id::Call, next_seq: u64) {
+        let Some(active) = self.calls.get(call) else {
+            return;
+        };
+        if active.since + self.settings.early_wait_ms > self.now {
+            self.wait(call, self.settings.journal_retry_ms);
+            return;
+        }
+        let detail = format!("the next sequence number is {next_seq}");
+        self.finish(call, refused(call, Kind::OutOfOrder, Ran::No, &detail));
+    }
+
+    /// Joins what was known when the load was asked for with what came.
+    ///
+    /// The cache may have changed since; it only ever grows or is dropped whole, so the
+    /// known items are still its first ones. `None` if it was dropped or is of an earlier
+    /// program with the same name.
+    pub(crate) fn extend_history(
+        &self,
+        program: &id::Program,
+        loaded: &Loaded,
+    ) -> Option<Vec<Vec<u8>>> {
+        let mut history = match loaded.known {
+            0 => Vec::new(),
+            known => {
+                let cached = self.programs.get(program)?;
+                let is_same = cached.opened_ms == loaded.summary.opened_ms;
+                cached.history.get(..known).filter(|_| is_same)?.to_vec()
+            }
+        };
+        history.extend_from_slice(&loaded.history);
+        Some(history)
+    }
+
+    pub(crate) fn remember(&mut self, program: &id::Program, cached: Arc<Cached>) {
+        self.programs_bytes += cached.bytes;
+        if let Some(old) = self.programs.insert(program.clone(), cached) {
+            self.programs_bytes -= old.bytes;
+        }
+        while self.programs_bytes > self.settings.history_cache_bytes {
+            let Some(victim) = self.programs.keys().next().cloned() else {
+                return;
+            };
+            self.forget(&victim);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, program: &id::Program) {
+        if let Some(old) = self.programs.remove(program) {
+            self.programs_bytes -= old.bytes;
+        }
+    }
+
+    /// Loads the call's program again after `delay`.
+    pub(crate) fn wait(&mut self, call: &id::Call, delay: Millis) {
+        let due = self.now + delay;
+        if let Some(active) = self.calls.get_mut(call) {
+            active.stage = Stage::Waiting;
+            active.due = Some(due);
+        }
+    }
+
+    /// Keeps the cached history equal to the journal's after a call of this entry.
+    pub(crate) fn advance_cache(&mut self, call: &id::Call, reply: &Reply) {
+        let Some(active) = self.calls.get(call) else {
+            return;
+        };
+        let Reply::Settled { verdict, spent, answer } = reply else {
+            return;
+        };
+        let known = active.program.clone().filter(|program| program.next_seq == call.seq);
+        let (Some(known), true) = (known, active.holder.is_some()) else {
+            self.forget(&call.program);
+            return;
+        };
+        let mut history = known.history.as_ref().clone();
+        if *verdict == Verdict::Answered {
+            history.push(active.request.content.to_vec());
+            history.push(answer.clone());
+        }
+        let bytes = history.iter().map(|item| item.len() as u64).sum();
+        let cached = Cached {
+            labels: known.labels.clone(),
+            opened_ms: known.opened_ms,
+            deadline_ms: known.deadline_ms,
+            next_seq: call.seq + 1,
+            attained_tokens: known.attained_tokens + spent.tokens,
+            history: Arc::new(history),
+            bytes,
+        };
+        self.remember(&call.program, Arc::new(cached));
+    }
+}
+
+pub(crate) fn to_cached(summary: Summary, history: Vec<Vec<u8>>) -> Cached {
+    Cached {
+        labels: summary.labels,
+        opened_ms: summary.opened_ms,
+        deadline_ms: summary.deadline_ms,
+        next_seq: summary.next_seq,
+        attained_tokens: summary.budget.spent.tokens,
+        bytes: history.iter().map(|item| item.len() as u64).sum(),
+        history: Arc::new(history),
+    }
+}
--- a/crates/coordination/src/entry/mod.rs
+++ b/crates/coordination/src/entry/mod.rs
@@ -5,12 +5,14 @@
 //! what the journal has settled. [`policy`] holds the order and the choice of the backend
 //! server; [`server`] what is known of each backend server.
 
+mod attempt;
 mod call;
 mod core;
-mod flow;
 mod input;
+mod loading;
 pub mod policy;
 pub mod server;
+mod settling;
 mod trial;
 
 pub use self::core::{Entry, Settings};
--- a/crates/coordination/src/entry/policy.rs
+++ b/crates/coordination/src/entry/policy.rs
@@ -14,6 +14,8 @@
     pub arrival: u64,
     /// When it arrived.
     pub since: Millis,
+    /// When its program was opened, in milliseconds since the Unix epoch.
+    pub opened_ms: u64,
     /// When its program must be done.
     pub deadline: Millis,
     /// Tokens that its program has drawn so far.
@@ -43,9 +45,12 @@
 
 impl Candidate {
     /// Whether it has room, by this entry's share or by the last report.
+    ///
+    /// A bound above the slots lets a call wait at the server that has its prefix instead
+    /// of running on one that has not.
     fn has_room(&self) -> bool {
         let known = self.reported.max(self.outstanding);
-        self.outstanding < self.share || known < self.slots
+        self.outstanding < self.share || known < self.slots * DEPTH
     }
 
     fn utilisation(&self) -> f64 {
@@ -72,9 +77,12 @@
     LeastOutstanding,
     /// [`LeastOutstanding`](Name::LeastOutstanding) with cache affinity only.
     Affinity,
-    /// [`LeastOutstanding`](Name::LeastOutstanding) with the program-level order only.
+    /// [`LeastOutstanding`](Name::LeastOutstanding) with bounded depth and the oldest
+    /// program first.
     ProgramOrder,
-    /// Bounded depth, program-level order and cache affinity.
+    /// Bounded depth, cache affinity, and first the program that has drawn the least.
+    LeastAttained,
+    /// Bounded depth, cache affinity, and the oldest program first.
     #[default]
     Shelf,
 }
@@ -87,10 +95,16 @@
             Name::LeastOutstanding => Box::new(Weighted::default()),
             Name::Affinity => Box::new(Weighted { has_affinity: true, ..Weighted::default() }),
             Name::ProgramOrder => {
-                Box::new(Weighted { has_order: true, has_bounds: true, ..Weighted::default() })
+                let order = Order::Oldest;
+                Box::new(Weighted { order, has_bounds: true, ..Weighted::default() })
+            }
+            Name::LeastAttained => {
+                let order = Order::LeastAttained;
+                Box::new(Weighted { has_affinity: true, order, has_bounds: true })
             }
             Name::Shelf => {
-                Box::new(Weighted { has_affinity: true, has_order: true, has_bounds: true })
+                let order = Order::Oldest;
+                Box::new(Weighted { has_affinity: true, order, has_bounds: true })
             }
         }
     }
@@ -119,14 +133,29 @@
 /// Waiting time that outweighs one attained token, in milliseconds.
 const AGEING_MS_PER_TOKEN: u64 = 4;
 
+/// Calls that a server may have, as a multiple of its slots.
+const DEPTH: u32 = 2;
+
 /// Load in calls that a fully warm cache outweighs, per unit of the cache weight's share.
 const AFFINITY_LOAD: f64 = 2.0;
 
+/// Order of waiting calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Order {
+    /// By arrival of the call.
+    #[default]
+    Arrival,
+    /// By what the program has drawn, with ageing.
+    LeastAttained,
+    /// By the opening of the program.
+    Oldest,
+}
+
 /// Cost of load and cold cache, with each ingredient optional.
 #[derive(Debug, Default)]
 struct Weighted {
     has_affinity: bool,
-    has_order: bool,
+    order: Order,
     has_bounds: bool,
 }
 
@@ -147,9 +176,6 @@
 
 impl Policy for Weighted {
     fn rank(&self, now: Millis, job: &Job) -> (u8, u64) {
-        if !self.has_order {
-            return (0, job.arrival);
-        }
         let class = if job.is_urgent {
             0
         } else if job.deadline < now {
@@ -157,9 +183,15 @@
         } else {
             1
         };
-        let waited = now.saturating_sub(job.since) / AGEING_MS_PER_TOKEN;
-        // Least attained service first, with ageing; the offset keeps the key positive.
-        (class, (1 << 40) + job.attained_tokens - waited.min(1 << 39))
+        match self.order {
+            Order::Arrival => (0, job.arrival),
+            Order::Oldest => (class, job.opened_ms),
+            Order::LeastAttained => {
+                let waited = now.saturating_sub(job.since) / AGEING_MS_PER_TOKEN;
+                // The offset keeps the key positive.
+                (class, (1 << 40) + job.attained_tokens - waited.min(1 << 39))
+            }
+        }
     }
 
     fn place(&mut self, job: &Job, candidates: &[Candidate]) -> Option<usize> {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,5 +13,7 @@
 pub mod ledger;
 pub mod platform;
 pub mod probe;
+pub mod program;
+pub mod sizes;
 pub mod tool;
 pub mod workload;
--- a/crates/standins/src/probe.rs
+++ b/crates/standins/src/probe.rs
@@ -8,6 +8,7 @@
 use protocol::backend::{EXECUTE, IDEMPOTENCY_KEY};
 use serde_json::{Value, json};
 use state::budget::Amount;
+use state::id;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -93,6 +94,42 @@
     cluster.instances.iter().enumerate().map(of).collect()
 }
 
+/// Time from the loss of a journal's leader to the answer of the next call, in
+/// milliseconds; once for each program journal.
+pub async fn failover(cluster: &mut Cluster, http: &reqwest::Client) -> Value {
+    open_programs(cluster, http).await;
+    let shards = 2;
+    let mut times = Vec::new();
+    for shard in 0..shards {
+        let Some(leader) = cluster.leader(http, u64::from(shard) + 1).await else {
+            return Value::Null;
+        };
+        let is_there = |at: &u64| {
+            let name = format!("added-{at}");
+            id::Program::new(&cluster.plan.deployment, &name).shard(shards) == shard
+        };
+        let Some(program) = (0..PROGRAMS).find(is_there) else {
+            return Value::Null;
+        };
+        let entry = cluster.instances[cluster.instances.len() - 1].callers.clone();
+        let url = format!("http://{entry}/v1/programs/added-{program}/calls");
+        let call = json!({
+            "seq": 1, "service": cluster.plan.tool.0, "arguments": { "op": "probe" },
+        });
+        cluster.kill_instance(leader);
+        let start = Instant::now();
+        let request = http.post(url).header("x-deployment", &cluster.plan.deployment).json(&call);
+        let status = request.send().await.map(|response| response.status().as_u16());
+        let ms = start.elapsed().as_secs_f64() * 1_000.0;
+        times.push(json!({ "ms": ms.round(), "status": status.unwrap_or(0) }));
+        // The next loss comes once this instance is back.
+        if cluster.start_instance(leader).is_err() || !cluster.wait_ready(http).await {
+            return Value::Null;
+        }
+    }
+    json!({ "failover": times })
+}
+
 /// Share of the sessions held by engines that belong to ended programs.
 #[derive(Debug, Default)]
 pub struct HeldShare {
--- /dev/null
+++ b/crates/standins/src/sizes.rs
@@ -0,0 +1,209 @@
+//! Sizes and times of the state machines, for docs/CAPACITY.md.
+
+use crate::probe::resident_kib;
+use coordination::entry::{Entry, Input, Load, Loaded, Output, Request, Settings};
+use serde_json::{Value, json};
+use state::budget::{Amount, Budget};
+use state::control::{Config, Deployment, Role, Server, Service, Snapshot, Weights};
+use state::error::Storage;
+use state::history::Files;
+use state::id::{Attempt, Call, Digest, Holder, Program};
+use state::machine::Machine;
+use state::program::{Begin, Command, End, Open, Reply, Shard, Summary, Verdict};
+use std::path::Path;
+use std::time::Instant;
+
+/// Decisions that one figure is the mean of.
+const DECISIONS: u64 = 2_000;
+
+/// Length of one history item, in bytes.
+const ITEM_BYTES: usize = 400;
+
+/// Largest amount; no measured step may meet a limit.
+const ENOUGH: Amount = Amount { tokens: u64::MAX / 4, calls: u64::MAX / 4, cost: u64::MAX / 4 };
+
+fn holder() -> Holder {
+    Holder { instance: "entry-1".into(), epoch: 1 }
+}
+
+fn micros(start: Instant, count: u64) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+fn resident() -> f64 {
+    resident_kib(std::process::id()).unwrap_or(0) as f64 * 1_024.0
+}
+
+fn open(at: u64) -> Command {
+    Command::Open(Open {
+        program: Program::new("dep", &format!("program-{at}")),
+        limit: ENOUGH,
+        cap: ENOUGH,
+        deadline_ms: u64::MAX,
+        labels: Vec::new(),
+        now_ms: 1,
+    })
+}
+
+fn attempt(at: u64, seq: u64) -> Attempt {
+    let program = Program::new("dep", &format!("program-{at}"));
+    Attempt { call: Call { program, seq }, number: 1 }
+}
+
+fn begin(at: u64, seq: u64) -> Command {
+    Command::Begin(Begin {
+        attempt: attempt(at, seq),
+        opened_ms: 1,
+        digest: Digest::of(b"content"),
+        holder: holder(),
+        service: "model".into(),
+        server: "model-1".into(),
+        is_idempotent: true,
+        holds_memory: true,
+        reserve: Amount { tokens: 100, calls: 1, cost: 0 },
+        cap: ENOUGH,
+        revision: 1,
+        messages: vec![b'q'; ITEM_BYTES],
+        takeover: None,
+        now_ms: 1,
+    })
+}
+
+fn end(at: u64, seq: u64) -> Command {
+    Command::End(End {
+        attempt: attempt(at, seq),
+        holder: holder(),
+        verdict: Verdict::Answered,
+        spent: Amount { tokens: 50, calls: 1, cost: 0 },
+        answer: vec![b'a'; ITEM_BYTES],
+        now_ms: 1,
+    })
+}
+
+/// A shard with so many programs of `turns` calls each; its history lies in `folder`.
+///
+/// # Errors
+///
+/// Returns the error of the disk.
+pub fn shard(programs: u64, turns: u64, folder: &Path) -> Result<Value, Storage> {
+    let before = resident();
+    let mut shard = Shard::new(Box::new(Files::open(folder)?));
+    for at in 0..programs {
+        shard.execute(open(at))?;
+        for seq in 1..=turns {
+            shard.execute(begin(at, seq))?;
+            shard.execute(end(at, seq))?;
+        }
+    }
+    let bytes = (resident() - before) / programs as f64;
+    let start = Instant::now();
+    for at in 0..DECISIONS.min(programs) {
+        let reply = shard.execute(begin(at, turns + 1))?;
+        debug_assert_eq!(reply, Reply::Begun);
+        shard.execute(end(at, turns + 1))?;
+    }
+    let call_us = micros(start, DECISIONS.min(programs));
+    let start = Instant::now();
+    let saved = shard.save()?;
+    let save_ms = micros(start, 1) / 1_000.0;
+    let start = Instant::now();
+    let mut loaded = Shard::new(Box::new(Files::open(folder)?));
+    loaded.load(&saved)?;
+    let load_ms = micros(start, 1) / 1_000.0;
+    Ok(json!({
+        "programs": programs, "turns": turns, "bytes_per_program": bytes.round(),
+        "call_us": call_us, "saved_bytes": saved.len(), "save_ms": save_ms, "load_ms": load_ms,
+    }))
+}
+
+fn config(servers: u64) -> Config {
+    let service = Service {
+        role: Role::Engine,
+        version: String::new(),
+        is_urgent: false,
+        can_look_up: false,
+        timeout_ms: 1_000_000,
+        prompt_bytes_per_token: 3,
+    };
+    let server = Server {
+        service: "model".into(),
+        address: "127.0.0.1:1".into(),
+        failure_domain: "a".into(),
+        slots: 8,
+        checks_fencing: true,
+    };
+    let names: Vec<String> = (0..servers).map(|at| format!("model-{at}")).collect();
+    let deployment = Deployment {
+        servers: names.clone(),
+        failure_domains: vec!["a".into()],
+        labels: Default::default(),
+        cap: ENOUGH,
+        weights: Weights { latency: 1, cache: 1 },
+    };
+    Config {
+        deployments: [("dep".to_owned(), deployment)].into(),
+        servers: names.into_iter().map(|name| (name, server.clone())).collect(),
+        services: [("model".to_owned(), service)].into(),
+    }
+}
+
+fn loaded(program: &Program) -> Box<Loaded> {
+    let summary = Summary {
+        program: program.clone(),
+        budget: Budget::new(ENOUGH),
+        opened_ms: 1,
+        deadline_ms: u64::MAX,
+        next_seq: 1,
+        current: None,
+        labels: Vec::new(),
+        is_closed: false,
+        held: Vec::new(),
+    };
+    Box::new(Loaded { summary, known: 0, history: Vec::new() })
+}
+
+/// One entry's decision for a call, before so many backend servers.
+pub fn entry(servers: u64) -> Value {
+    let before = resident();
+    let mut entry = Entry::new(Settings::default(), 0, 1);
+    let snapshot = Snapshot { version: 1, config: config(servers), ..Snapshot::default() };
+    entry.step(
+        0,
+        Input::Renewed {
+            holder: holder(),
+            sent: 0,
+            length: 1_000_000,
+            snapshot: Some(Box::new(snapshot)),
+            in_force: 1,
+        },
+    );
+    for at in 0..servers {
+        let load = Some(Load { incarnation: 1, ..Load::default() });
+        entry.step(1, Input::Report { server: format!("model-{at}"), at: 1, load });
+    }
+    let bytes = (resident() - before) / servers as f64;
+    let mut decided = 0;
+    let start = Instant::now();
+    for at in 0..DECISIONS {
+        let program = Program::new("dep", &format!("program-{at}"));
+        let request = Request {
+            token: at,
+            call: Call { program: program.clone(), seq: 1 },
+            service: "model".into(),
+            content: b"hello".to_vec().into(),
+            is_idempotent: true,
+            max_tokens: 10,
+            cost: 0,
+        };
+        let outputs = entry.step(2, Input::Call(request));
+        let Some(Output::Load { op, .. }) = outputs.first() else {
+            continue;
+        };
+        let outputs = entry.step(2, Input::Loaded { op: *op, result: Ok(Ok(loaded(&program))) });
+        decided += u64::from(!outputs.is_empty());
+    }
+    json!({
+        "servers": servers, "bytes_per_server": bytes.round(),
+        "decision_us": micros(start, DECISIONS), "decided": decided,
+    })
+}
--- a/crates/state/src/control/command.rs
+++ b/crates/state/src/control/command.rs
@@ -110,6 +110,8 @@
 pub enum Query {
     /// What entries must obey.
     Snapshot,
+    /// Version of what entries must obey.
+    Version,
     /// Tickets with numbers above this one.
     Tickets {
         /// Number below the first.
@@ -131,6 +133,8 @@
 pub enum View {
     /// What entries must obey.
     Snapshot(Box<Snapshot>),
+    /// Version of what entries must obey.
+    Version(u64),
     /// Tickets by number.
     Tickets(BTreeMap<u64, Recorded>),
     /// Orders by backend server.
--- a/crates/state/src/control/machine.rs
+++ b/crates/state/src/control/machine.rs
@@ -307,6 +307,7 @@
     pub fn view(&self, query: &Query) -> View {
         match query {
             Query::Snapshot => View::Snapshot(Box::new(self.snapshot.clone())),
+            Query::Version => View::Version(self.snapshot.version),
             Query::Tickets { after, limit } => View::Tickets(
                 self.tickets
                     .range(after.saturating_add(1)..)
--- a/crates/state/src/program/shard.rs
+++ b/crates/state/src/program/shard.rs
@@ -5,9 +5,7 @@
 use crate::history::{Locator, Position, Store};
 use crate::id;
 use crate::machine::{self, Machine};
-use crate::program::command::{
-    Begin, Close, Command, End, Open, Query, Refusal, Reply, Summary, Takeover, View,
-};
+use crate::program::command::{Command, End, Open, Refusal, Reply};
 use crate::program::record::{Current, Entry, Program, Verdict};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,8 +14,8 @@
 
 /// All programs of one replicated journal.
 pub struct Shard {
-    programs: Programs,
-    history: Box<dyn Store>,
+    pub(crate) programs: Programs,
+    pub(crate) history: Box<dyn Store>,
 }
 
 /// State for this disk; history stays in its segment files.
@@ -109,7 +107,7 @@
         Ok(())
     }
 
-    fn open_program(&mut self, id: &id::Program) -> Result<&mut Program, Refusal> {
+    pub(crate) fn open_program(&mut self, id: &id::Program) -> Result<&mut Program, Refusal> {
         match self.programs.get_mut(id) {
             None => Err(refusal(Kind::UnknownProgram, format!("no program {id}"))),
             Some(program) if program.is_closed => {
@@ -119,81 +117,11 @@
         }
     }
 
-    fn begin(&mut self, begin: Begin) -> Result<Reply, Storage> {
-        if let Some(entry) = self.settled(&begin.attempt.call) {
-            if entry.digest != begin.digest {
-                return Ok(refused(Kind::Conflict, differs(&begin.attempt.call)));
-            }
-            return self.recorded(&entry);
-        }
-        let program = match self.open_program(&begin.attempt.call.program) {
-            Ok(program) => program,
-            Err(refusal) => return Ok(Reply::Refused(refusal)),
-        };
-        if let Some(reply) = admission(program, &begin) {
-            return Ok(reply);
-        }
-        if program.current.is_none() && begin.now_ms > program.deadline_ms {
-            let call = &begin.attempt.call;
-            return self.settle_not_run(call, begin.digest, Kind::DeadlineExceeded);
-        }
-        let previous = program.current.take();
-        let charged = settle_lost(&mut program.budget, previous.as_ref());
-        if !program.budget.reserve(begin.reserve, begin.cap) {
-            return self.refuse_budget(&begin, previous, charged);
-        }
-        let messages = match &previous {
-            Some(previous) => previous.messages,
-            None => self.history.append(&begin.messages)?,
-        };
-        let Some(program) = self.programs.get_mut(&begin.attempt.call.program) else {
-            return Ok(refused(Kind::UnknownProgram, String::new()));
-        };
-        if begin.holds_memory {
-            program.held.insert(begin.server.clone());
-        }
-        program.used_ms = begin.now_ms;
-        program.current = Some(Current {
-            attempt: begin.attempt.number,
-            digest: begin.digest,
-            holder: Some(begin.holder),
-            service: begin.service,
-            server: begin.server,
-            is_idempotent: begin.is_idempotent,
-            reserve: begin.reserve,
-            charged,
-            messages,
-        });
-        Ok(Reply::Begun)
-    }
-
-    /// Refuses a call that the budget does not cover.
-    ///
-    /// A lost earlier attempt may have run, so then the call ends as unknown.
-    fn refuse_budget(
-        &mut self,
-        begin: &Begin,
-        previous: Option<Current>,
-        charged: Amount,
-    ) -> Result<Reply, Storage> {
-        let call = &begin.attempt.call;
-        let Some(mut previous) = previous else {
-            return self.settle_not_run(call, begin.digest, Kind::BudgetExhausted);
-        };
-        previous.reserve = Amount::default();
-        previous.charged = charged;
-        let verdict = match charged == Amount::default() {
-            true => Verdict::NotRun(Kind::BudgetExhausted),
-            false => Verdict::Unknown(Kind::BudgetExhausted),
-        };
-        self.settle(call, previous, verdict, Amount::default(), &[])
-    }
-
-    fn settled(&self, call: &id::Call) -> Option<Entry> {
+    pub(crate) fn settled(&self, call: &id::Call) -> Option<Entry> {
         self.programs.get(&call.program)?.entry(call.seq).cloned()
     }
 
-    fn recorded(&self, entry: &Entry) -> Result<Reply, Storage> {
+    pub(crate) fn recorded(&self, entry: &Entry) -> Result<Reply, Storage> {
         let answer = self.history.read(&entry.answer)?;
         Ok(Reply::Settled { verdict: entry.verdict, spent: entry.spent, answer })
     }
@@ -263,7 +191,7 @@
     }
 
     /// Records the outcome of the next call in order.
-    fn settle(
+    pub(crate) fn settle(
         &mut self,
         call: &id::Call,
         current: Current,
@@ -289,97 +217,6 @@
         Ok(Reply::Settled { verdict, spent: total, answer: answer.to_vec() })
     }
 
-    fn close(&mut self, close: &Close) -> Result<Reply, Storage> {
-        let Some(program) = self.programs.get(&close.program) else {
-            return Ok(refused(Kind::UnknownProgram, format!("no program {}", close.program)));
-        };
-        if program.is_closed {
-            return Ok(Reply::Done);
-        }
-        let family = self.family(&close.program);
-        let busy = family.iter().find(|id| self.is_running(id));
-        if let (Some(busy), false) = (busy, close.force) {
-            return Ok(refused(Kind::Busy, format!("program {busy} has a call under way")));
-        }
-        // Deepest first, so that each settles into a parent that is still open.
-        for id in family.iter().rev() {
-            self.close_one(id, close.now_ms)?;
-        }
-        Ok(Reply::Done)
-    }
-
-    /// The program and its open sub-agents, parents before children.
-    fn family(&self, program: &id::Program) -> Vec<id::Program> {
-        let prefix = format!("{}.", program.name);
-        let from = id::Program::new(&program.deployment, &prefix);
-        let children = self
-            .programs
-            .range(from..)
-            .take_while(|(id, _)| {
-                id.deployment == program.deployment && id.name.starts_with(&prefix)
-            })
-            .filter(|(_, child)| !child.is_closed)
-            .map(|(id, _)| id.clone());
-        std::iter::once(program.clone()).chain(children).collect()
-    }
-
-    fn is_running(&self, program: &id::Program) -> bool {
-        let current = self.programs.get(program).and_then(|program| program.current.as_ref());
-        current.is_some_and(|current| current.holder.is_some())
-    }
-
-    fn close_one(&mut self, id: &id::Program, now_ms: u64) -> Result<(), Storage> {
-        let Some(program) = self.programs.get_mut(id) else {
-            return Ok(());
-        };
-        program.is_closed = true;
-        program.used_ms = now_ms;
-        if let Some(current) = program.current.take() {
-            let call = id::Call { program: id.clone(), seq: program.next_seq() };
-            let charge = current.reserve;
-            let may_have_run = current.holder.is_some() || current.charged != Amount::default();
-            let verdict = match may_have_run {
-                true => Verdict::Unknown(Kind::Cancelled),
-                false => Verdict::NotRun(Kind::Cancelled),
-            };
-            self.settle(&call, current, verdict, charge, &[])?;
-        }
-        self.return_to_parent(id);
-        Ok(())
-    }
-
-    fn return_to_parent(&mut self, id: &id::Program) {
-        let Some(budget) = self.programs.get(id).map(|program| program.budget) else {
-            return;
-        };
-        if let Some(parent) = id.parent().and_then(|parent| self.programs.get_mut(&parent)) {
-            parent.budget.settle(budget.limit, budget.spent);
-        }
-    }
-
-    fn released(&mut self, program: &id::Program, server: &str) -> Reply {
-        if let Some(program) = self.programs.get_mut(program) {
-            program.held.remove(server);
-        }
-        Reply::Done
-    }
-
-    fn sweep(&mut self, now_ms: u64, idle_ms: u64, keep_ms: u64) -> Result<Reply, Storage> {
-        let idle: Vec<id::Program> = self
-            .programs
-            .iter()
-            .filter(|(_, program)| !program.is_closed && program.used_ms + idle_ms <= now_ms)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for program in idle {
-            self.close(&Close { program, force: true, now_ms })?;
-        }
-        self.programs.retain(|_, program| {
-            !program.is_closed || !program.held.is_empty() || program.used_ms + keep_ms > now_ms
-        });
-        Ok(Reply::Done)
-    }
-
     /// Settles a call whose last attempt was taken back; an earlier one may have run.
     fn refuse_abandoned(&mut self, call: &id::Call, kind: Kind) -> Result<Reply, Storage> {
         let program = self.programs.get_mut(&call.program);
@@ -393,47 +230,6 @@
         self.settle(call, current, verdict, Amount::default(), &[])
     }
 
-    fn answer(&self, call: &id::Call) -> Result<Reply, Storage> {
-        let Some(program) = self.programs.get(&call.program) else {
-            return Ok(refused(Kind::UnknownProgram, format!("no program {}", call.program)));
-        };
-        if let Some(entry) = program.entry(call.seq) {
-            return self.recorded(entry);
-        }
-        let current = program.current.as_ref().filter(|_| call.seq == program.next_seq());
-        Ok(match current {
-            Some(current) => busy(current),
-            None => refused(Kind::UnknownCall, format!("no call {call}")),
-        })
-    }
-
-    fn load_call(
-        &self,
-        call: &id::Call,
-        digest: &id::Digest,
-        known: usize,
-    ) -> Result<View, Storage> {
-        let Some(program) = self.programs.get(&call.program) else {
-            let detail = format!("no program {}", call.program);
-            return Ok(View::Refused(refusal(Kind::UnknownProgram, detail)));
-        };
-        if let Some(entry) = program.entry(call.seq) {
-            if entry.digest != *digest {
-                return Ok(View::Refused(refusal(Kind::Conflict, differs(call))));
-            }
-            return Ok(View::Answer(self.recorded(entry)?));
-        }
-        let summary = Box::new(summary(&call.program, program));
-        Ok(View::Loaded { summary, history: self.history(program, known)? })
-    }
-
-    /// Messages and answers of the answered calls, in order, without the first `known`.
-    fn history(&self, program: &Program, known: usize) -> Result<Vec<Vec<u8>>, Storage> {
-        let answered = program.entries.iter().filter(|entry| entry.verdict == Verdict::Answered);
-        let locators = answered.flat_map(|entry| [&entry.messages, &entry.answer]);
-        locators.skip(known).map(|locator| self.history.read(locator)).collect()
-    }
-
     fn refuse(
         &mut self,
         call: &id::Call,
@@ -460,7 +256,7 @@
     }
 
     /// Settles the next call in order, which was never begun.
-    fn settle_not_run(
+    pub(crate) fn settle_not_run(
         &mut self,
         call: &id::Call,
         digest: id::Digest,
@@ -480,45 +276,6 @@
         };
         self.settle(call, current, Verdict::NotRun(kind), Amount::default(), &[])
     }
-
-    fn backlog(&self, limit: usize) -> Vec<(id::Program, String)> {
-        let closed = self.programs.iter().filter(|(_, program)| program.is_closed);
-        closed
-            .flat_map(|(id, program)| {
-                program.held.iter().map(|server| (id.clone(), server.clone()))
-            })
-            .take(limit)
-            .collect()
-    }
-
-    /// Executes one query.
-    ///
-    /// # Errors
-    ///
-    /// Returns the storage error that stops the replica.
-    pub fn view(&self, query: &Query) -> Result<View, Storage> {
-        Ok(match query {
-            Query::Answer(call) => View::Answer(self.answer(call)?),
-            Query::Load { call, digest, known } => self.load_call(call, digest, *known)?,
-            Query::Program(id) => match self.programs.get(id) {
-                Some(program) => View::Programs(vec![summary(id, program)]),
-                None => View::Refused(refusal(Kind::UnknownProgram, format!("no program {id}"))),
-            },
-            Query::List { deployment, limit } => View::Programs(
-                self.programs
-                    .iter()
-                    .filter(|(id, _)| deployment.as_ref().is_none_or(|d| *d == id.deployment))
-                    .take(*limit)
-                    .map(|(id, program)| summary(id, program))
-                    .collect(),
-            ),
-            Query::History(id) => match self.programs.get(id) {
-                Some(program) => View::History(self.history(program, 0)?),
-                None => View::Refused(refusal(Kind::UnknownProgram, format!("no program {id}"))),
-            },
-            Query::Backlog { limit } => View::Backlog(self.backlog(*limit)),
-        })
-    }
 }
 
 impl Machine for Shard {
@@ -595,58 +352,7 @@
     }
 }
 
-/// Decides whether `begin` may start; `None` means yes.
-fn admission(program: &Program, begin: &Begin) -> Option<Reply> {
-    let call = &begin.attempt.call;
-    if begin.opened_ms != program.opened_ms {
-        let detail = format!("program {} was opened again since", call.program);
-        return Some(refused(Kind::OutOfOrder, detail));
-    }
-    if call.seq != program.next_seq() {
-        let detail = format!("call {call}: the next sequence number is {}", program.next_seq());
-        return Some(refused(Kind::OutOfOrder, detail));
-    }
-    if let Some(current) = &program.current {
-        return replacement(current, begin);
-    }
-    (begin.attempt.number != 1).then(|| refused(Kind::Conflict, "the first attempt is 1".into()))
-}
-
-/// Decides whether `begin` may replace the attempt under way; `None` means yes.
-fn replacement(current: &Current, begin: &Begin) -> Option<Reply> {
-    if current.digest != begin.digest {
-        return Some(refused(Kind::Conflict, differs(&begin.attempt.call)));
-    }
-    let is_own = current.holder.as_ref() == Some(&begin.holder);
-    if is_own && current.attempt == begin.attempt.number {
-        return Some(if current.server == begin.server {
-            Reply::Begun
-        } else {
-            refused(Kind::Conflict, "the attempt was begun on another server".into())
-        });
-    }
-    let is_free = match (&current.holder, &begin.takeover) {
-        (None, _) => true,
-        (Some(holder), Some(Takeover::Expired(expired))) => holder == expired,
-        (Some(_), Some(Takeover::GivenUp)) => is_own,
-        (Some(_), None) => false,
-    };
-    if is_free && current.is_idempotent && begin.attempt.number == current.attempt + 1 {
-        return None;
-    }
-    Some(busy(current))
-}
-
-/// Charges a lost attempt its whole reservation; returns the charges of the call so far.
-fn settle_lost(budget: &mut Budget, previous: Option<&Current>) -> Amount {
-    let Some(previous) = previous else {
-        return Amount::default();
-    };
-    budget.settle(previous.reserve, previous.reserve);
-    previous.charged.plus(previous.reserve)
-}
-
-fn busy(current: &Current) -> Reply {
+pub(crate) fn busy(current: &Current) -> Reply {
     Reply::Busy {
         attempt: current.attempt,
         holder: current.holder.clone(),
@@ -667,32 +373,14 @@
     settled.chain(program.current.iter_mut().map(|current| &mut current.messages))
 }
 
-fn summary(id: &id::Program, program: &Program) -> Summary {
-    let running = program.current.as_ref().and_then(|current| {
-        let call = id::Call { program: id.clone(), seq: program.next_seq() };
-        Some((id::Attempt { call, number: current.attempt }, current.holder.clone()?))
-    });
-    Summary {
-        program: id.clone(),
-        budget: program.budget,
-        opened_ms: program.opened_ms,
-        deadline_ms: program.deadline_ms,
-        next_seq: program.next_seq(),
-        current: running,
-        labels: program.labels.clone(),
-        is_closed: program.is_closed,
-        held: program.held.iter().cloned().collect(),
-    }
-}
-
-fn refusal(kind: Kind, detail: String) -> Refusal {
+pub(crate) fn refusal(kind: Kind, detail: String) -> Refusal {
     Refusal { kind, detail }
 }
 
-fn refused(kind: Kind, detail: String) -> Reply {
+pub(crate) fn refused(kind: Kind, detail: String) -> Reply {
     Reply::Refused(refusal(kind, detail))
 }
 
-fn differs(call: &id::Call) -> String {
+pub(crate) fn differs(call: &id::Call) -> String {
     format!("call {call} was made before with other content")
 }
--- /dev/null
+++ b/crates/state/src/program/view.rs
@@ -0,0 +1,107 @@
+//! Questions about applied state.
+
+use crate::error::{Kind, Storage};
+use crate::id;
+use crate::program::command::{Query, Reply, Summary, View};
+use crate::program::record::{Program, Verdict};
+use crate::program::shard::{Shard, busy, differs, refusal, refused};
+
+impl Shard {
+    pub(crate) fn answer(&self, call: &id::Call) -> Result<Reply, Storage> {
+        let Some(program) = self.programs.get(&call.program) else {
+            return Ok(refused(Kind::UnknownProgram, format!("no program {}", call.program)));
+        };
+        if let Some(entry) = program.entry(call.seq) {
+            return self.recorded(entry);
+        }
+        let current = program.current.as_ref().filter(|_| call.seq == program.next_seq());
+        Ok(match current {
+            Some(current) => busy(current),
+            None => refused(Kind::UnknownCall, format!("no call {call}")),
+        })
+    }
+
+    pub(crate) fn load_call(
+        &self,
+        call: &id::Call,
+        digest: &id::Digest,
+        known: usize,
+    ) -> Result<View, Storage> {
+        let Some(program) = self.programs.get(&call.program) else {
+            let detail = format!("no program {}", call.program);
+            return Ok(View::Refused(refusal(Kind::UnknownProgram, detail)));
+        };
+        if let Some(entry) = program.entry(call.seq) {
+            if entry.digest != *digest {
+                return Ok(View::Refused(refusal(Kind::Conflict, differs(call))));
+            }
+            return Ok(View::Answer(self.recorded(entry)?));
+        }
+        let summary = Box::new(summary(&call.program, program));
+        Ok(View::Loaded { summary, history: self.history(program, known)? })
+    }
+
+    /// Messages and answers of the answered calls, in order, without the first `known`.
+    pub(crate) fn history(&self, program: &Program, known: usize) -> Result<Vec<Vec<u8>>, Storage> {
+        let answered = program.entries.iter().filter(|entry| entry.verdict == Verdict::Answered);
+        let locators = answered.flat_map(|entry| [&entry.messages, &entry.answer]);
+        locators.skip(known).map(|locator| self.history.read(locator)).collect()
+    }
+
+    pub(crate) fn backlog(&self, limit: usize) -> Vec<(id::Program, String)> {
+        let closed = self.programs.iter().filter(|(_, program)| program.is_closed);
+        closed
+            .flat_map(|(id, program)| {
+                program.held.iter().map(|server| (id.clone(), server.clone()))
+            })
+            .take(limit)
+            .collect()
+    }
+
+    /// Executes one query.
+    ///
+    /// # Errors
+    ///
+    /// Returns the storage error that stops the replica.
+    pub fn view(&self, query: &Query) -> Result<View, Storage> {
+        Ok(match query {
+            Query::Answer(call) => View::Answer(self.answer(call)?),
+            Query::Load { call, digest, known } => self.load_call(call, digest, *known)?,
+            Query::Program(id) => match self.programs.get(id) {
+                Some(program) => View::Programs(vec![summary(id, program)]),
+                None => View::Refused(refusal(Kind::UnknownProgram, format!("no program {id}"))),
+            },
+            Query::List { deployment, limit } => View::Programs(
+                self.programs
+                    .iter()
+                    .filter(|(id, _)| deployment.as_ref().is_none_or(|d| *d == id.deployment))
+                    .take(*limit)
+                    .map(|(id, program)| summary(id, program))
+                    .collect(),
+            ),
+            Query::History(id) => match self.programs.get(id) {
+                Some(program) => View::History(self.history(program, 0)?),
+                None => View::Refused(refusal(Kind::UnknownProgram, format!("no program {id}"))),
+            },
+            Query::Backlog { limit } => View::Backlog(self.backlog(*limit)),
+        })
+    }
+}
+
+pub(crate) fn summary(id: &id::Program, program: &Program) -> Summary {
+    let running = program.current.as_ref().and_then(|current| {
+        let call = id::Call { program: id.clone(), seq: program.next_seq() };
+        Some((id::Attempt { call, number: current.attempt }, current.holder.clone()?))
+    });
+    Summary {
+        program: id.clone(),
+        budget: program.budget,
+        opened_ms: program.opened_ms,
+        deadline_ms: program.deadline_ms,
+        next_seq: program.next_seq(),
+        current: running,
+        labels: program.labels.clone(),
+        is_closed: program.is_closed,
+        held: program.held.iter().cloned().collect(),
+    }
+}
--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -4,7 +4,7 @@
 use crate::actor::{Ask, Handle, News};
 use crate::journal::Journal;
 use crate::reply::{self, Result, bearer, not_run, unreachable};
-use coordination::entry::{Answer, Request as Ask0};
+use coordination::entry::{self, Answer};
 use coordination::routing;
 use futures_util::stream;
 use protocol::answer::Refusal;
@@ -208,7 +208,7 @@
     }
 
     /// Refuses a call while stopping, truthfully: only if no attempt exists.
-    async fn refuse_stopping(&self, ask: &Ask0) -> Result<Made> {
+    async fn refuse_stopping(&self, ask: &entry::Request) -> Result<Made> {
         let query = Query::Answer(ask.call.clone());
         let group = self.journal.group(&ask.call.program);
         match self.journal.query(group, &query).await {
@@ -258,7 +258,7 @@
     Ok(())
 }
 
-fn to_request(program: id::Program, call: Call) -> Result<Ask0> {
+fn to_request(program: id::Program, call: Call) -> Result<entry::Request> {
     if call.seq == 0 {
         return Err(not_run(Kind::OutOfOrder, "seq 0; accepted: 1 or more"));
     }
@@ -271,7 +271,7 @@
         }
     };
     let content = content.map_err(|error| not_run(Kind::Malformed, error.to_string()))?;
-    Ok(Ask0 {
+    Ok(entry::Request {
         token: 0,
         call: id::Call { program, seq: call.seq },
         service: call.service,
--- a/crates/transport/src/controller.rs
+++ b/crates/transport/src/controller.rs
@@ -37,7 +37,7 @@
     /// Applied index of the snapshot below.
     refreshed: Option<u64>,
     registry: Registry,
-    snapshot: Snapshot,
+    snapshot: Arc<Snapshot>,
     in_force: u64,
     reports: Map<String, (u64, Report)>,
     loads: Bucket,
@@ -104,7 +104,7 @@
                 since: now,
                 refreshed: None,
                 registry: Registry::new(self.settings, now),
-                snapshot: Snapshot::default(),
+                snapshot: Arc::default(),
                 in_force: 0,
                 reports: Map::default(),
                 loads: Bucket::new(self.loads_per_second, LOAD_BURST, now),
@@ -142,7 +142,7 @@
                 self.submit(&Command::Seed(self.seed.clone())).await;
             }
             self.with_term(|term, now| {
-                term.snapshot = *snapshot;
+                term.snapshot = Arc::from(snapshot);
                 term.refreshed = Some(applied);
                 term.in_force = term.registry.in_force(now, &term.snapshot);
             });
@@ -156,13 +156,27 @@
         }
     }
 
-    async fn snapshot(&self) -> Option<Snapshot> {
-        let query = machine::encode(&Query::Snapshot).ok()?;
-        let Outcome::Data(view) = self.control.query(query).await else {
+    async fn query(&self, query: &Query) -> Option<View> {
+        let query = machine::encode(query).ok()?;
+        match self.control.query(query).await {
+            Outcome::Data(view) => machine::decode(&view).ok(),
+            _ => None,
+        }
+    }
+
+    /// The control state as a quorum has just confirmed it.
+    ///
+    /// Only its version is read while the one at hand is the newest.
+    async fn confirmed(&self) -> Option<Arc<Snapshot>> {
+        let Some(View::Version(version)) = self.query(&Query::Version).await else {
             return None;
         };
-        match machine::decode(&view) {
-            Ok(View::Snapshot(snapshot)) => Some(*snapshot),
+        let known = self.with_term(|term, _| term.snapshot.clone())?;
+        if known.version == version {
+            return Some(known);
+        }
+        match self.query(&Query::Snapshot).await {
+            Some(View::Snapshot(snapshot)) => Some(Arc::from(snapshot)),
             _ => None,
         }
     }
@@ -267,7 +281,7 @@
         version: u64,
         reports: Vec<Report>,
     ) -> Response {
-        let Some(snapshot) = self.snapshot().await else {
+        let Some(snapshot) = self.confirmed().await else {
             return Response::NotLeader(self.control.status.borrow().leader.clone());
         };
         if !snapshot.is_current(&holder) {
@@ -295,7 +309,7 @@
                 length_ms,
                 in_force: term.in_force,
                 reports,
-                snapshot: (snapshot.version > version).then_some(snapshot),
+                snapshot: (snapshot.version > version).then(|| snapshot.as_ref().clone()),
             })
         });
         match grant {
--- /dev/null
+++ b/crates/transport/src/founding.rs
@@ -0,0 +1,174 @@
+//! The replicas of an instance: first start, restart, and return after a lost disk.
+
+use crate::clock::Clock;
+use crate::links::Links;
+use crate::node::Error;
+use crate::peers::Shared;
+use crate::replica::{self, Handle};
+use crate::storage::{Folder, Identity, Opened};
+use coordination::consensus::{self, Birth, Peer};
+use protocol::settings::Settings;
+use protocol::wire::{CONTROL, Request, Response};
+use rand::Rng;
+use state::collections::Map;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Pause between two looks at the peers during the first start.
+const BIRTH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for a peer to say what it holds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause between two requests to join a journal.
+const JOIN_PAUSE: Duration = Duration::from_millis(300);
+
+/// Starts the replicas of an instance with a disk.
+pub(crate) async fn start_replicas(
+    settings: &Settings,
+    clock: Clock,
+    links: &Arc<Links>,
+    shared: &Arc<Shared>,
+) -> Result<Map<u32, Handle>, Error> {
+    let Some(storage) = settings.storage.as_ref().filter(|_| is_replica(settings)) else {
+        return Ok(Map::default());
+    };
+    let (identity, opened) = open_folder(settings, &storage.folder, links, shared).await?;
+    let _ = shared.id.set(identity.id);
+    let is_first = opened.iter().all(|(_, opened)| is_empty(opened));
+    if !identity.founders.voters.is_empty() && is_first {
+        wait_for_founders(settings, links).await;
+    }
+    let mut groups = Map::default();
+    for (group, opened) in opened {
+        let start = replica::Start {
+            group,
+            identity: identity.clone(),
+            clock,
+            consensus: consensus::Settings {
+                election_ms: settings.journal.election_ms,
+                heartbeat_ms: settings.journal.election_ms / 6,
+                ..consensus::Settings::default()
+            },
+            compact_bytes: settings.journal.compact_bytes,
+            seed: rand::rng().next_u64(),
+            opened,
+            links: links.clone(),
+        };
+        groups.insert(group, replica::start(start).map_err(Error::new)?);
+    }
+    drop(shared.groups.set(groups.clone()));
+    tokio::spawn(join_groups(settings.name.clone(), identity.id, groups.clone(), links.clone()));
+    Ok(groups)
+}
+
+fn is_replica(settings: &Settings) -> bool {
+    settings.replicas().contains(&settings.name)
+}
+
+fn is_empty(opened: &Opened) -> bool {
+    let restored = &opened.restored;
+    restored.hard.term == 0 && restored.snapshot.index == 0 && restored.entries.is_empty()
+}
+
+/// Opens the data folder; a damaged one is set aside and replaced.
+async fn open_folder(
+    settings: &Settings,
+    path: &Path,
+    links: &Arc<Links>,
+    shared: &Arc<Shared>,
+) -> Result<(Identity, Vec<(u32, Opened)>), Error> {
+    let folder = Folder::open(path).map_err(Error::new)?;
+    let open_all = || -> Result<Vec<(u32, Opened)>, state::error::Storage> {
+        let groups = CONTROL..=settings.journal.shards;
+        groups.map(|group| Ok((group, folder.open_group(group)?))).collect()
+    };
+    if let Some(identity) = folder.identity().map_err(Error::new)? {
+        match open_all() {
+            Ok(opened) => {
+                let holds = opened.iter().any(|(_, opened)| !is_empty(opened));
+                shared.held_state.store(holds, Ordering::SeqCst);
+                shared.has_identity.store(true, Ordering::SeqCst);
+                return Ok((identity, opened));
+            }
+            Err(error @ state::error::Storage::Damaged { .. }) if settings.replicas().len() > 1 => {
+                tracing::error!(%error, "data folder is set aside; joining again");
+                folder.set_aside().map_err(Error::new)?;
+            }
+            Err(error) => return Err(Error::new(error)),
+        }
+    }
+    let identity = await_birth(settings, links).await;
+    let opened = open_all().map_err(Error::new)?;
+    folder.write_identity(&identity).map_err(Error::new)?;
+    shared.has_identity.store(true, Ordering::SeqCst);
+    tracing::info!(
+        id = identity.id,
+        is_founder = !identity.founders.voters.is_empty(),
+        "new folder"
+    );
+    Ok((identity, opened))
+}
+
+/// Asks the other replicas until it is clear how an empty folder starts.
+async fn await_birth(settings: &Settings, links: &Arc<Links>) -> Identity {
+    loop {
+        let answers = probe(settings, links).await;
+        let peers: Vec<Peer> = answers.into_iter().map(|(peer, _)| peer).collect();
+        let birth = Birth::decide(&settings.name, &settings.replicas(), &peers);
+        if let Some(identity) = Identity::born(&birth, &settings.name) {
+            return identity;
+        }
+        tokio::time::sleep(BIRTH_PAUSE).await;
+    }
+}
+
+/// Waits until each founder has its identity, so that none takes the others for older.
+async fn wait_for_founders(settings: &Settings, links: &Arc<Links>) {
+    let others = settings.replicas().len() - 1;
+    loop {
+        let answers = probe(settings, links).await;
+        let ready = answers.iter().filter(|(peer, has)| *has || !peer.is_fresh).count();
+        if ready >= others {
+            return;
+        }
+        tokio::time::sleep(BIRTH_PAUSE).await;
+    }
+}
+
+/// What the other replicas hold, as far as they answer.
+async fn probe(settings: &Settings, links: &Arc<Links>) -> Vec<(Peer, bool)> {
+    let others = settings.replicas().into_iter().filter(|name| *name != settings.name);
+    let probes = others.map(|name| async move {
+        match links.call(&name, Request::Probe, PROBE_TIMEOUT).await {
+            Ok(Response::Peer { peer, has_identity }) => Some((peer, has_identity)),
+            _ => None,
+        }
+    });
+    futures_util::future::join_all(probes).await.into_iter().flatten().collect()
+}
+
+/// Asks the leaders to let this replica vote, until each journal does.
+async fn join_groups(name: String, id: u64, groups: Map<u32, Handle>, links: Arc<Links>) {
+    loop {
+        tokio::time::sleep(JOIN_PAUSE).await;
+        let missing: Vec<u32> = groups
+            .iter()
+            .filter(|(_, handle)| {
+                let status = handle.status.borrow();
+                !status.is_voter && status.fault.is_none()
+            })
+            .map(|(group, _)| *group)
+            .collect();
+        for group in missing {
+            for peer in links.names() {
+                let request = Request::Join { group, instance: name.clone(), id };
+                if links.call(&peer, request, PROBE_TIMEOUT).await == Ok(Response::Done) {
+                    break;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/inspect.rs
@@ -0,0 +1,108 @@
+//! Dumps of the whole process.
+
+use crate::actor;
+use crate::clock::Clock;
+use crate::controller::Controller;
+use crate::links::Links;
+use crate::replica::{Handle, Job};
+use protocol::settings::Settings;
+use serde_json::{Value, json};
+use state::collections::Map;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Gives dumps of the whole process.
+pub(crate) struct Inspect {
+    pub(crate) settings: Settings,
+    pub(crate) entry: actor::Handle,
+    pub(crate) groups: Map<u32, Handle>,
+    pub(crate) controller: Option<Arc<Controller>>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) clock: Clock,
+}
+
+impl Inspect {
+    /// The whole state, or one section of it; no customer content.
+    pub(crate) async fn dump(&self, section: Option<String>) -> Value {
+        if section.as_deref() == Some("summary") {
+            return self.summary();
+        }
+        let mut dump = json!({
+            "summary": self.summary(),
+            "entry": self.entry().await,
+            "control": *self.entry.view.borrow().snapshot,
+            "journals": self.journals().await,
+            "leases": self.controller.as_ref().map(|controller| controller.leases()),
+        });
+        match section {
+            Some(section) => dump.get_mut(&section).map_or(Value::Null, Value::take),
+            None => dump,
+        }
+    }
+
+    fn summary(&self) -> Value {
+        let view = self.entry.view.borrow().clone();
+        let leads: Vec<u32> =
+            self.groups.iter().filter(|(_, handle)| handle.leads()).map(|(g, _)| *g).collect();
+        let lag: u64 = self
+            .groups
+            .values()
+            .map(|handle| {
+                let status = handle.status.borrow();
+                status.last_index - status.applied.min(status.last_index)
+            })
+            .sum();
+        let faults: Vec<String> = self
+            .groups
+            .values()
+            .filter_map(|handle| handle.status.borrow().fault.clone())
+            .collect();
+        json!({
+            "name": self.settings.name,
+            "failure_domain": self.settings.failure_domain,
+            "is_reachable": true,
+            "epoch": view.epoch,
+            "lease_ms": view.lease_until.saturating_sub(self.clock.now()),
+            "version": view.version,
+            "in_force": view.in_force,
+            "queued": view.queued,
+            "calls": view.calls,
+            "leads": leads,
+            "lag": lag,
+            "bytes_sent": self.links.traffic().sent(),
+            "bytes_received": self.links.traffic().received(),
+            "faults": faults,
+        })
+    }
+
+    async fn entry(&self) -> Value {
+        let (reply, answer) = oneshot::channel();
+        if self.entry.dumps.send(reply).await.is_err() {
+            return Value::Null;
+        }
+        answer.await.unwrap_or(Value::Null)
+    }
+
+    async fn journals(&self) -> Value {
+        let mut rows = Vec::new();
+        for (group, handle) in &self.groups {
+            let (reply, answer) = oneshot::channel();
+            let machine = match handle.jobs.send(Job::Dump { reply }) {
+                Ok(()) => answer.await.unwrap_or_default(),
+                Err(_) => String::new(),
+            };
+            let status = handle.status.borrow().clone();
+            rows.push(json!({
+                "group": group, "term": status.term, "is_leader": status.is_leader,
+                "is_voter": status.is_voter, "leader": status.leader,
+                "commit": status.commit, "applied": status.applied,
+                "last_index": status.last_index, "base_index": status.base_index,
+                "members": status.members, "syncs": status.syncs,
+                "sync_micros": status.sync_micros, "bytes_written": status.bytes_written,
+                "fault": status.fault,
+                "machine": serde_json::from_str::<Value>(&machine).unwrap_or(Value::Null),
+            }));
+        }
+        Value::Array(rows)
+    }
+}
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -6,6 +6,7 @@
 
 use crate::journal::Unreachable;
 use crate::replica::{Handle, Job, Outcome};
+use coordination::consensus::Id;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
@@ -214,15 +215,10 @@
 }
 
 /// Hands received journal messages to the replicas.
-pub(crate) fn deliver(
-    groups: &Map<u32, Handle>,
-    ids: &dyn Fn(u32) -> Option<u64>,
-    from: &str,
-    envelopes: Vec<Envelope>,
-) {
+pub(crate) fn deliver(groups: &Map<u32, Handle>, id: Id, from: &str, envelopes: Vec<Envelope>) {
     let mut by_group: Map<u32, Vec<_>> = Map::default();
     for envelope in envelopes {
-        if ids(envelope.group) == Some(envelope.to) {
+        if envelope.to == id {
             by_group.entry(envelope.group).or_default().push((envelope.from, envelope.message));
         }
     }
--- a/crates/transport/src/operators.rs
+++ b/crates/transport/src/operators.rs
@@ -3,10 +3,10 @@
 use crate::access::Tokens;
 use crate::actor::View;
 use crate::callers::refusal_of;
+use crate::inspect::Inspect;
 use crate::journal::Journal;
 use crate::links::Links;
 use crate::metrics::Metrics;
-use crate::node::Inspect;
 use crate::replica::Handle as Replica;
 use crate::reply::{self, Result, bearer, not_run, unreachable};
 use protocol::api::{self, Done};
--- /dev/null
+++ b/crates/transport/src/peers.rs
@@ -0,0 +1,127 @@
+//! Answers to the other instances.
+
+use crate::controller::Controller;
+use crate::inspect::Inspect;
+use crate::links::{self, Handler};
+use crate::replica::{Handle, Job, Status};
+use coordination::consensus::{Id, Peer};
+use protocol::wire::{Request, Response};
+use state::collections::Map;
+use state::control;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+
+/// What answers other instances; its parts are set as they start.
+pub(crate) struct Shared {
+    pub(crate) name: String,
+    pub(crate) groups: OnceLock<Map<u32, Handle>>,
+    pub(crate) id: OnceLock<Id>,
+    pub(crate) controller: OnceLock<Arc<Controller>>,
+    pub(crate) inspect: OnceLock<Arc<Inspect>>,
+    pub(crate) has_identity: AtomicBool,
+    pub(crate) held_state: AtomicBool,
+}
+
+impl Shared {
+    /// Answers for an instance whose parts are still to start.
+    pub(crate) fn new(name: &str) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            groups: OnceLock::new(),
+            id: OnceLock::new(),
+            controller: OnceLock::new(),
+            inspect: OnceLock::new(),
+            has_identity: AtomicBool::new(false),
+            held_state: AtomicBool::new(false),
+        })
+    }
+
+    fn status(&self, group: u32) -> Option<Status> {
+        Some(self.groups.get()?.get(&group)?.status.borrow().clone())
+    }
+
+    /// Whether no replica here ever held a term or an entry.
+    fn is_fresh(&self) -> bool {
+        let is_empty = |handle: &Handle| {
+            let status = handle.status.borrow();
+            status.term == 0 && status.last_index == 0
+        };
+        let groups = self.groups.get();
+        !self.held_state.load(Ordering::SeqCst)
+            && groups.is_none_or(|groups| groups.values().all(is_empty))
+    }
+
+    fn leader_of(&self, group: u32) -> Option<String> {
+        self.status(group)?.leader
+    }
+
+    async fn respond(&self, from: String, request: Request) -> Response {
+        match request {
+            Request::Consensus(envelopes) => {
+                if let Some((groups, id)) = self.groups.get().zip(self.id.get()) {
+                    links::deliver(groups, *id, &from, envelopes);
+                }
+                Response::Done
+            }
+            Request::Submit { group, command } => match self.group(group) {
+                Some(handle) => links::response(handle.submit(command).await),
+                None => Response::NotLeader(None),
+            },
+            Request::Query { group, query } => match self.group(group) {
+                Some(handle) => links::response(handle.query(query).await),
+                None => Response::NotLeader(None),
+            },
+            Request::Renew { holder, version, reports } => match self.controller.get() {
+                Some(controller) => controller.renew(holder, version, reports).await,
+                None => Response::NotLeader(None),
+            },
+            Request::Register { instance, nonce, address, failure_domain } => {
+                let command =
+                    control::Command::Register { instance, nonce, address, failure_domain };
+                match self.controller.get() {
+                    Some(controller) => controller.register(command).await,
+                    None => Response::NotLeader(None),
+                }
+            }
+            Request::Leave(holder) => match self.controller.get() {
+                Some(controller) => controller.leave(holder).await,
+                None => Response::NotLeader(None),
+            },
+            Request::Probe => Response::Peer {
+                peer: Peer { instance: self.name.clone(), is_fresh: self.is_fresh() },
+                has_identity: self.has_identity.load(Ordering::SeqCst),
+            },
+            Request::Join { group, instance, id } => self.join(group, instance, id),
+            Request::Dump { section } => match self.inspect.get() {
+                Some(inspect) => Response::Text(inspect.dump(section).await.to_string()),
+                None => Response::Unknown,
+            },
+        }
+    }
+
+    fn group(&self, group: u32) -> Option<&Handle> {
+        self.groups.get()?.get(&group)
+    }
+
+    fn join(&self, group: u32, instance: String, id: u64) -> Response {
+        match self.group(group) {
+            Some(handle) if handle.leads() => {
+                drop(handle.jobs.send(Job::Join { instance, id }));
+                Response::Done
+            }
+            _ => Response::NotLeader(self.leader_of(group)),
+        }
+    }
+}
+
+impl Handler for Shared {
+    fn handle<'a>(
+        &'a self,
+        from: String,
+        request: Request,
+    ) -> Pin<Box<dyn Future<Output = Response> + Send + 'a>> {
+        Box::pin(self.respond(from, request))
+    }
+}
