--- a/crates/coordination/src/entry/policy.rs
+++ b/crates/coordination/src/entry/policy.rs
@@ -46,11 +46,12 @@
 impl Candidate {
     /// Whether it has room, by this entry's share or by the last report.
     ///
-    /// A bound above the slots lets a call wait at the server that has its prefix instead
-    /// of running on one that has not.
+    /// A higher bound for a warm server lets a call wait there instead of running where
+    /// its prompt must be computed again.
     fn has_room(&self) -> bool {
         let known = self.reported.max(self.outstanding);
-        self.outstanding < self.share || known < self.slots * DEPTH
+        let depth = if self.warm_tokens > 0 { WARM_DEPTH } else { DEPTH };
+        self.outstanding < self.share || known < self.slots * depth
     }
 
     fn utilisation(&self) -> f64 {
@@ -136,6 +137,9 @@
 /// Calls that a server may have, as a multiple of its slots.
 const DEPTH: u32 = 2;
 
+/// Calls that a server may have if its cache is warm, as a multiple of its slots.
+const WARM_DEPTH: u32 = 4;
+
 /// Load in calls that a fully warm cache outweighs, per unit of the cache weight's share.
 const AFFINITY_LOAD: f64 = 2.0;
 
--- a/crates/coordination/src/entry/trial.rs
+++ b/crates/coordination/src/entry/trial.rs
@@ -42,7 +42,7 @@
             return None;
         }
         let is_taken = self.calls.values().any(|active| active.is_trial);
-        if !is_in_force || !is_idle || server_is_used(server.outstanding) || is_taken {
+        if !is_in_force || !is_idle || server.outstanding > 0 || is_taken {
             return None;
         }
         if let Some(active) = self.calls.get_mut(call) {
@@ -118,7 +118,3 @@
         }
     }
 }
-
-fn server_is_used(outstanding: u32) -> bool {
-    outstanding > 0
-}
--- a/crates/coordination/tests/policy.rs
+++ b/crates/coordination/tests/policy.rs
@@ -27,6 +27,15 @@
     assert_eq!(least.place(&JOB, &[full]), Some(0), "the baseline knows no bound");
 }
 
+#[test]
+fn a_warm_server_may_be_fuller_than_a_cold_one() {
+    let mut shelf = Name::Shelf.build();
+    let full = Candidate { outstanding: 1, reported: 8, ..IDLE };
+    let warm = Candidate { warm_tokens: 100, ..full };
+    assert_eq!(shelf.place(&JOB, &[full, warm]), Some(1));
+    assert_eq!(shelf.place(&JOB, &[Candidate { reported: 16, ..warm }]), None);
+}
+
 #[test]
 fn an_entry_may_use_its_share_whatever_others_do() {
     let mut shelf = Name::Shelf.build();
--- /dev/null
+++ b/crates/ctl/tests/main.rs
@@ -0,0 +1,96 @@
+//! Tests of the command-line tool against one instance inside the test process.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
+
+use protocol::settings::{Listen, Settings, Storage};
+use state::budget::Amount;
+use state::control::{Config, Deployment, Weights};
+use std::path::Path;
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+use transport::Node;
+
+/// Time for the instance to hold its lease.
+const READY: Duration = Duration::from_secs(10);
+
+async fn start(folder: &Path) -> Node {
+    let any = || "127.0.0.1:0".to_owned();
+    let deployment = Deployment {
+        servers: Vec::new(),
+        failure_domains: vec!["local".into()],
+        labels: Default::default(),
+        cap: Amount { tokens: 9, calls: 9, cost: 9 },
+        weights: Weights { latency: 1, cache: 1 },
+    };
+    let seed =
+        Config { deployments: [("demo".to_owned(), deployment)].into(), ..Config::default() };
+    let mut settings = Settings {
+        listen: Listen { callers: any(), operators: any(), peers: any() },
+        storage: Some(Storage { folder: folder.join("data") }),
+        seed,
+        ..Settings::default()
+    };
+    settings.stop.keep_ms = 10;
+    Node::start(settings).await.unwrap()
+}
+
+async fn run(operators: &str, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornctl"));
+    command.args(["--operators", operators]).args(words);
+    tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn ticket(folder: &Path, number: u64, servers: &str) -> String {
+    let path = folder.join(format!("{number}{}.toml", servers.len()));
+    let body = format!(
+        "number = {number}\n[[changes]]\n[changes.deployment]\nname = \"demo\"\n\
+         [changes.deployment.state]\nservers = [{servers}]\nfailure_domains = [\"local\"]\n\
+         cap = {{ tokens = 1, calls = 1, cost = 1 }}\nweights = {{ latency = 1, cache = 1 }}\n"
+    );
+    std::fs::write(&path, body).unwrap();
+    path.to_string_lossy().into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_exit_code_has_its_case() {
+    let folder = tempfile::tempdir().unwrap();
+    let node = start(folder.path()).await;
+    // A dead address first: the tool finds the instance that answers.
+    let operators = format!("127.0.0.1:1,{}", node.operators_address());
+    let since = Instant::now();
+    while !text(&run(&operators, &["--json", "deployment", "list"]).await).contains("demo") {
+        assert!(since.elapsed() < READY, "the instance is not ready");
+    }
+    let seven = ticket(folder.path(), 7, "");
+    let applied = run(&operators, &["ticket", "apply", &seven, "--wait", "5000"]).await;
+    assert_eq!(applied.status.code(), Some(0), "{}", text(&applied));
+    assert!(text(&applied).contains("yes"), "{}", text(&applied));
+
+    let cases: [(&[&str], i32, &str); 7] = [
+        (&["status"], 0, "local"),
+        (&["ticket", "show", "7"], 0, "deployment demo"),
+        (&["ticket", "show", "8"], 1, "NotFound"),
+        (&["quarantine", "lift", "xyz"], 1, "hexadecimal"),
+        (&["program", "show", "nothing"], 2, "DEPLOYMENT/PROGRAM"),
+        (&["ticket", "apply", "no-such-file"], 2, "no-such-file"),
+        (&["dump", "nowhere"], 1, "known"),
+    ];
+    for (words, code, part) in cases {
+        let output = run(&operators, words).await;
+        assert_eq!(output.status.code(), Some(code), "{words:?}: {}", text(&output));
+        assert!(text(&output).contains(part), "{words:?}: {}", text(&output));
+    }
+    for (number, servers, kind) in [(6, "", "Stale"), (9, "\"ghost\"", "Invalid")] {
+        let file = ticket(folder.path(), number, servers);
+        let output = run(&operators, &["ticket", "apply", &file]).await;
+        assert_eq!(output.status.code(), Some(1), "{}", text(&output));
+        assert!(text(&output).contains(kind), "{}", text(&output));
+    }
+    let silent = run("127.0.0.1:1", &["status"]).await;
+    assert_eq!(silent.status.code(), Some(3), "{}", text(&silent));
+    node.stop().await;
+}
