--- a/crates/coordination/src/entry/call.rs
+++ b/crates/coordination/src/entry/call.rs
@@ -124,6 +124,11 @@
         id::Attempt { call: self.call().clone(), number: self.attempt }
     }
 
+    /// Whether it waits for a backend server.
+    pub(crate) fn is_queued(&self) -> bool {
+        matches!(self.stage, Stage::Queued)
+    }
+
     /// Prompt size of the loaded program and this call, in bytes.
     pub(crate) fn prompt_bytes(&self) -> u64 {
         let history = self.program.as_ref().map_or(0, |program| program.bytes);
--- a/crates/coordination/src/entry/core.rs
+++ b/crates/coordination/src/entry/core.rs
@@ -2,7 +2,7 @@
 
 use crate::Millis;
 use crate::entry::call::{Active, Cached, Stage};
-use crate::entry::input::{Answer, Input, Output, Request, refused};
+use crate::entry::input::{Answer, Backend, Input, Output, Request, refused};
 use crate::entry::policy::{self, Candidate, Job, Policy};
 use crate::entry::server::{Fleet, dispatchers};
 use crate::lease::Lease;
@@ -81,7 +81,6 @@
     policy: Box<dyn Policy>,
     next_id: u64,
     arrivals: u64,
-    can_schedule: bool,
 }
 
 impl Entry {
@@ -110,13 +109,14 @@
             trial_op: None,
             next_id: 0,
             arrivals: 0,
-            can_schedule: false,
         }
     }
 
     /// Handles one input at time `now` and returns what is to be done.
     pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
         self.now = self.now.max(now);
+        let may_free_room =
+            !matches!(input, Input::Call(_) | Input::Backend { event: Backend::Chunk { .. }, .. });
         match input {
             Input::Call(request) => self.on_call(request),
             Input::Loaded { op, result } => self.on_loaded(op, result),
@@ -132,8 +132,9 @@
             Input::Leaving(names) => self.fleet.leaving(names),
             Input::Tick => self.on_tick(),
         }
-        self.can_schedule = true;
-        self.schedule();
+        if may_free_room {
+            self.schedule();
+        }
         std::mem::take(&mut self.outputs)
     }
 
@@ -174,7 +175,7 @@
 
     /// Number of calls that wait for a backend server.
     pub fn queued(&self) -> usize {
-        self.calls.values().filter(|call| matches!(call.stage, Stage::Queued)).count()
+        self.calls.values().filter(|call| call.is_queued()).count()
     }
 
     /// Calls under way for a dump: call, stage, attempt and age in milliseconds.
@@ -296,16 +297,13 @@
     }
 
     fn schedule(&mut self) {
-        if !std::mem::take(&mut self.can_schedule) {
-            return;
-        }
         let Some(holder) = self.lease.valid_holder(self.now).cloned() else {
             return;
         };
         let mut queue: Vec<((u8, u64), u64, id::Call)> = self
             .calls
             .values()
-            .filter(|active| matches!(active.stage, Stage::Queued))
+            .filter(|active| active.is_queued())
             .filter(|active| active.due.is_none_or(|due| due <= self.now))
             .map(|active| {
                 let job = self.job(active);
@@ -313,8 +311,17 @@
             })
             .collect();
         queue.sort();
+        let mut misses: Map<Group, u32> = Map::default();
         for (_, _, call) in queue {
-            self.place(&call, &holder);
+            let Some(group) = self.calls.get(&call).map(Group::of) else {
+                continue;
+            };
+            let missed = misses.entry(group).or_default();
+            if *missed < MISSES {
+                self.place(&call, &holder);
+                let is_waiting = self.calls.get(&call).is_some_and(Active::is_queued);
+                *missed += u32::from(is_waiting);
+            }
         }
     }
 
@@ -418,6 +425,27 @@
     }
 }
 
+/// Calls of one group that may be passed over before the rest of it waits too.
+const MISSES: u32 = 16;
+
+/// Calls that the same backend servers may run.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Group {
+    service: String,
+    deployment: String,
+    labels: Vec<String>,
+}
+
+impl Group {
+    fn of(active: &Active) -> Self {
+        Self {
+            service: active.request.service.clone(),
+            deployment: active.call().program.deployment.clone(),
+            labels: active.program.as_ref().map_or_else(Vec::new, |p| p.labels.clone()),
+        }
+    }
+}
+
 /// Key of a program's prompt in a backend server's cache.
 pub(crate) fn program_key(program: &id::Program) -> u64 {
     routing::score(&program.deployment, &program.name)
--- a/crates/coordination/tests/entry.rs
+++ b/crates/coordination/tests/entry.rs
@@ -240,3 +240,22 @@
     let [Output::Answer { token: 7, answer }] = &outputs[..] else { panic!("{outputs:?}") };
     assert_eq!(answer.ran, Ran::No);
 }
+
+#[test]
+fn a_long_queue_of_one_kind_does_not_hold_up_another() {
+    let mut entry = entry(&["m2", "m3"]);
+    let full = Some(Load { running: 99, ..Load::default() });
+    entry.step(1, Input::Report { server: "m1".into(), at: 1, load: full });
+    let program = |at: u64| Program::new("dep", &format!("p{at}"));
+    for at in 0..100 {
+        let call = Call { program: program(at), seq: SEQ };
+        let outputs =
+            entry.step(2, Input::Call(Request { token: at, call, ..request("model", true) }));
+        let mut loaded = loaded();
+        loaded.summary.program = program(at);
+        entry.step(2, Input::Loaded { op: op(&outputs), result: Ok(Ok(loaded)) });
+    }
+    assert!(entry.queued() >= 90, "{}", entry.queued());
+    let (_, server) = begin(&mut entry, request("tool", false));
+    assert!(server.starts_with('t'));
+}
