fix(standins): choose all ports of a cluster at once

The ports of a cluster were chosen in three calls, and a port of an earlier call whose process had not bound it yet could be given again. Change: one call chooses all ports and holds them together. Conclusion: the new way cannot give a port twice within a cluster.

--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -13,6 +13,9 @@
 /// Time for all instances to hold leases.
 const READY_TIME: Duration = Duration::from_secs(20);
 
+/// Addresses of one instance: for callers, operators and peers.
+const PORTS_PER_INSTANCE: usize = 3;
+
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -109,14 +112,11 @@
     /// Folder of the run.
     pub folder: PathBuf,
     standins: BTreeMap<String, (Vec<String>, Option<Child>)>,
+    free: Vec<String>,
     programs: PathBuf,
 }
 
-/// A port of loopback that the kernel has just chosen.
-fn free_address() -> std::io::Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
-}
-
+/// Addresses on loopback with ports of the kernel's choice.
 fn addresses(count: usize) -> std::io::Result<Vec<String>> {
     // All are held at once, so that the kernel gives none twice.
     let held: std::io::Result<Vec<TcpListener>> =
@@ -147,13 +147,18 @@
     ) -> std::io::Result<Cluster> {
         let programs = build()?;
         std::fs::create_dir_all(folder.join("ledgers"))?;
-        let platform_address = free_address()?;
+        // All ports are chosen at once: a process that has not bound its port yet does not
+        // keep the kernel from giving it again.
+        let count = 1 + plan.model.1 + plan.tool.1 + plan.instances * PORTS_PER_INSTANCE;
+        let mut free = addresses(count)?;
+        let platform_address = free.remove(0);
         let mut cluster = Cluster {
             seed: Config::default(),
             platform: format!("http://{platform_address}"),
             instances: Vec::new(),
             folder: folder.to_owned(),
             standins: BTreeMap::new(),
+            free,
             programs,
             plan,
         };
@@ -176,7 +181,7 @@
         let plan = self.plan.clone();
         let (model, engines) = plan.model.clone();
         let (tool, tools) = plan.tool.clone();
-        let addresses = addresses(engines + tools)?;
+        let addresses: Vec<String> = self.free.drain(..engines + tools).collect();
         let service = |role| Service {
             role,
             version: if role == Role::Engine { "v1".into() } else { String::new() },
@@ -241,11 +246,11 @@
     fn add_instances(&mut self, via: &dyn Fn(usize, usize, &str) -> String) -> std::io::Result<()> {
         let plan = self.plan.clone();
         let count = plan.instances;
-        let addresses = addresses(count * 3)?;
+        let addresses = std::mem::take(&mut self.free);
         let peers: Vec<Peer> = (0..count)
             .map(|at| Peer {
                 name: format!("entry-{}", at + 1),
-                address: addresses[at * 3].clone(),
+                address: addresses[at * PORTS_PER_INSTANCE].clone(),
                 failure_domain: plan.domain(at),
             })
             .collect();
@@ -253,8 +258,8 @@
         for (at, peer) in peers.iter().enumerate() {
             let has_disk = at < plan.disks;
             let listen = Listen {
-                callers: addresses[at * 3 + 1].clone(),
-                operators: addresses[at * 3 + 2].clone(),
+                callers: addresses[at * PORTS_PER_INSTANCE + 1].clone(),
+                operators: addresses[at * PORTS_PER_INSTANCE + 2].clone(),
                 peers: peer.address.clone(),
             };
             let mut settings = Settings {
