fix(quickstart): leave the build out of the time

Cause: wall_s was 61.6 s for 60 programs, since the build of daemon and stand-ins had moved behind the start of the clock. Ruled out: a stall (the logs span 9 s, the planned stop took 1.6 s). Change: the build comes first. Conclusion: no fault of the system.

--- a/crates/standins/src/bin/quickstart.rs
+++ b/crates/standins/src/bin/quickstart.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use standins::caller::{self, Crowd, Outcome, Record};
 use standins::check::{self, Counts};
-use standins::cluster::{Cluster, Plan};
+use standins::cluster::{self, Cluster, Plan};
 use standins::ledger;
 use standins::program::{self, say};
 use standins::workload::{self, Shape};
@@ -51,6 +51,8 @@
 }
 
 async fn run(arguments: Arguments) -> std::io::Result<bool> {
+    // The time of the build does not count.
+    cluster::build()?;
     let start = Instant::now();
     prepare(&arguments.folder)?;
     let mut cluster = Cluster::start(Plan::voskuilen(), &arguments.folder)?;
