refactor: read the token files once; keep methods private; one way to try later

Cause: read over the whole change. No check, bound or expectation changed. Conclusion: behaviour as before, but for a faulty token file, which now stops the start before the replicas are opened instead of after.

--- a/crates/coordination/src/entry/attempt.rs
+++ b/crates/coordination/src/entry/attempt.rs
@@ -79,7 +79,7 @@
     }
 
     /// Whether everything that permitted the Begin still holds.
-    pub(crate) fn may_dispatch(&self, call: &id::Call, begin: &Begin) -> bool {
+    fn may_dispatch(&self, call: &id::Call, begin: &Begin) -> bool {
         let Some(active) = self.calls.get(call) else {
             return false;
         };
@@ -128,7 +128,7 @@
         self.outputs.push(Output::Dispatch(Box::new(dispatch)));
     }
 
-    pub(crate) fn free_slot(&mut self, server: &str) {
+    fn free_slot(&mut self, server: &str) {
         if let Some(state) = self.fleet.get_mut(server) {
             state.outstanding = state.outstanding.saturating_sub(1);
         }
@@ -142,7 +142,7 @@
         }
     }
 
-    pub(crate) fn stop_running(&mut self, call: &id::Call) -> Option<Running> {
+    fn stop_running(&mut self, call: &id::Call) -> Option<Running> {
         let active = self.calls.get_mut(call)?;
         let (Stage::Running(running) | Stage::LookingUp(running)) = &active.stage else {
             return None;
@@ -165,7 +165,7 @@
         }
     }
 
-    pub(crate) fn on_chunk(&mut self, call: &id::Call, text: String, tokens: u64) {
+    fn on_chunk(&mut self, call: &id::Call, text: String, tokens: u64) {
         let Some(active) = self.calls.get_mut(call) else {
             return;
         };
@@ -182,7 +182,7 @@
     }
 
     /// Ends a stream that reached the call's token limit.
-    pub(crate) fn stop_at_limit(&mut self, call: &id::Call) {
+    fn stop_at_limit(&mut self, call: &id::Call) {
         let Some(active) = self.calls.get(call) else {
             return;
         };
@@ -195,7 +195,7 @@
         }
     }
 
-    pub(crate) fn on_finished(&mut self, call: &id::Call, answer: Vec<u8>, spent: Amount) {
+    fn on_finished(&mut self, call: &id::Call, answer: Vec<u8>, spent: Amount) {
         let Some(running) = self.stop_running(call) else {
             return;
         };
@@ -210,7 +210,7 @@
         self.settle_with(call, Verdict::Answered, spent, answer);
     }
 
-    pub(crate) fn on_failed(&mut self, call: &id::Call, failure: Failure) {
+    fn on_failed(&mut self, call: &id::Call, failure: Failure) {
         let Some(running) = self.stop_running(call) else {
             return;
         };
@@ -237,7 +237,7 @@
     }
 
     /// Asks the tool whether it executed a lost attempt, if it can tell.
-    pub(crate) fn look_up(&mut self, call: &id::Call, running: Running) {
+    fn look_up(&mut self, call: &id::Call, running: Running) {
         let config = &self.snapshot.config;
         let Some(active) = self.calls.get_mut(call) else {
             return;
@@ -293,7 +293,7 @@
 }
 
 /// The most that an attempt can draw.
-pub(crate) fn reservation(active: &Active, role: Role, prompt_tokens: u64) -> Amount {
+fn reservation(active: &Active, role: Role, prompt_tokens: u64) -> Amount {
     let tokens = match role {
         Role::Engine => prompt_tokens + active.request.max_tokens + OVERSHOOT_TOKENS,
         Role::Tool => 0,
--- a/crates/coordination/src/entry/core.rs
+++ b/crates/coordination/src/entry/core.rs
@@ -197,6 +197,14 @@
         Some(call)
     }
 
+    /// Lets the stage of a call be tried again after the journal gave no answer.
+    pub(crate) fn retry_later(&mut self, call: &id::Call) {
+        let due = self.now + self.settings.journal_retry_ms;
+        if let Some(active) = self.calls.get_mut(call) {
+            active.due = Some(due);
+        }
+    }
+
     pub(crate) fn next_id(&mut self) -> u64 {
         self.next_id += 1;
         self.next_id
--- a/crates/coordination/src/entry/loading.rs
+++ b/crates/coordination/src/entry/loading.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    pub(crate) fn on_program(&mut self, call: &id::Call, loaded: Loaded) {
+    fn on_program(&mut self, call: &id::Call, loaded: Loaded) {
         let summary = &loaded.summary;
         let next_seq = summary.next_seq;
         if summary.is_closed {
@@ -73,7 +73,7 @@
         active.stage = Stage::Queued;
     }
 
-    pub(crate) fn wait_for_predecessor(&mut self, call: &id::Call, next_seq: u64) {
+    fn wait_for_predecessor(&mut self, call: &id::Call, next_seq: u64) {
         let Some(active) = self.calls.get(call) else {
             return;
         };
@@ -90,11 +90,7 @@
     /// The cache may have changed since; it only ever grows or is dropped whole, so the
     /// known items are still its first ones. `None` if it was dropped or is of an earlier
     /// program with the same name.
-    pub(crate) fn extend_history(
-        &self,
-        program: &id::Program,
-        loaded: &Loaded,
-    ) -> Option<Vec<Vec<u8>>> {
+    fn extend_history(&self, program: &id::Program, loaded: &Loaded) -> Option<Vec<Vec<u8>>> {
         let mut history = match loaded.known {
             0 => Vec::new(),
             known => {
@@ -107,7 +103,7 @@
         Some(history)
     }
 
-    pub(crate) fn remember(&mut self, program: &id::Program, cached: Arc<Cached>) {
+    fn remember(&mut self, program: &id::Program, cached: Arc<Cached>) {
         self.programs_bytes += cached.bytes;
         if let Some(old) = self.programs.insert(program.clone(), cached) {
             self.programs_bytes -= old.bytes;
@@ -167,7 +163,7 @@
     }
 }
 
-pub(crate) fn to_cached(summary: Summary, history: Vec<Vec<u8>>) -> Cached {
+fn to_cached(summary: Summary, history: Vec<Vec<u8>>) -> Cached {
     Cached {
         labels: summary.labels,
         opened_ms: summary.opened_ms,
--- a/crates/coordination/src/entry/settling.rs
+++ b/crates/coordination/src/entry/settling.rs
@@ -18,7 +18,7 @@
 const RETRY: Backoff = Backoff { first_ms: 50, most_ms: 2_000 };
 
 impl Entry {
-    pub(crate) fn submit_settling(&mut self, call: &id::Call, command: Box<Command>) {
+    fn submit_settling(&mut self, call: &id::Call, command: Box<Command>) {
         let copy = command.as_ref().clone();
         let patience = self.now + SETTLE_WAIT_MS;
         if let Some(active) = self.calls.get_mut(call) {
@@ -93,14 +93,12 @@
         let Some(call) = self.take_op(op) else {
             return;
         };
-        let retry_at = self.now + self.settings.journal_retry_ms;
-        let Some(active) = self.calls.get_mut(&call) else {
-            return;
-        };
+        let stage = self.calls.get(&call).map(|active| &active.stage);
+        let is_beginning = matches!(stage, Some(Stage::Beginning(_)));
         match result {
             // The command may be in effect; the same one is submitted again.
-            Err(Unreachable) => active.due = Some(retry_at),
-            Ok(reply) if matches!(active.stage, Stage::Beginning(_)) => self.on_begun(&call, reply),
+            Err(Unreachable) => self.retry_later(&call),
+            Ok(reply) if is_beginning => self.on_begun(&call, reply),
             Ok(reply) => self.on_decided(&call, reply),
         }
     }
--- a/crates/coordination/src/entry/trial.rs
+++ b/crates/coordination/src/entry/trial.rs
@@ -101,15 +101,11 @@
         let Some(call) = self.take_op(op) else {
             return;
         };
-        let retry_at = self.now + self.settings.journal_retry_ms;
-        let Some(active) = self.calls.get_mut(&call) else {
-            return;
-        };
         match result {
-            Err(Unreachable) => active.due = Some(retry_at),
+            Err(Unreachable) => self.retry_later(&call),
             Ok(Reply::Quarantined) => {
-                let (content, is_trial) = (active.content, active.is_trial);
-                if is_trial {
+                let tried = self.calls.get(&call).filter(|active| active.is_trial);
+                if let Some(content) = tried.map(|active| active.content) {
                     self.end_trial(content, false);
                 }
                 self.settle(&call, Verdict::Failed(Kind::Quarantined));
--- a/crates/state/src/program/begin.rs
+++ b/crates/state/src/program/begin.rs
@@ -58,7 +58,7 @@
     /// Refuses a call that the budget does not cover.
     ///
     /// A lost earlier attempt may have run, so then the call ends as unknown.
-    pub(crate) fn refuse_budget(
+    fn refuse_budget(
         &mut self,
         begin: &Begin,
         previous: Option<Current>,
@@ -79,7 +79,7 @@
 }
 
 /// Decides whether `begin` may start; `None` means yes.
-pub(crate) fn admission(program: &Program, begin: &Begin) -> Option<Reply> {
+fn admission(program: &Program, begin: &Begin) -> Option<Reply> {
     let call = &begin.attempt.call;
     if begin.opened_ms != program.opened_ms {
         let detail = format!("program {} was opened again since", call.program);
@@ -96,7 +96,7 @@
 }
 
 /// Decides whether `begin` may replace the attempt under way; `None` means yes.
-pub(crate) fn replacement(current: &Current, begin: &Begin) -> Option<Reply> {
+fn replacement(current: &Current, begin: &Begin) -> Option<Reply> {
     if current.digest != begin.digest {
         return Some(refused(Kind::Conflict, differs(&begin.attempt.call)));
     }
@@ -121,7 +121,7 @@
 }
 
 /// Charges a lost attempt its whole reservation; returns the charges of the call so far.
-pub(crate) fn settle_lost(budget: &mut Budget, previous: Option<&Current>) -> Amount {
+fn settle_lost(budget: &mut Budget, previous: Option<&Current>) -> Amount {
     let Some(previous) = previous else {
         return Amount::default();
     };
--- a/crates/state/src/program/close.rs
+++ b/crates/state/src/program/close.rs
@@ -28,7 +28,7 @@
     }
 
     /// The program and its open sub-agents, parents before children.
-    pub(crate) fn family(&self, program: &id::Program) -> Vec<id::Program> {
+    fn family(&self, program: &id::Program) -> Vec<id::Program> {
         let prefix = format!("{}.", program.name);
         let from = id::Program::new(&program.deployment, &prefix);
         let children = self
@@ -42,12 +42,12 @@
         std::iter::once(program.clone()).chain(children).collect()
     }
 
-    pub(crate) fn is_running(&self, program: &id::Program) -> bool {
+    fn is_running(&self, program: &id::Program) -> bool {
         let current = self.programs.get(program).and_then(|program| program.current.as_ref());
         current.is_some_and(|current| current.holder.is_some())
     }
 
-    pub(crate) fn close_one(&mut self, id: &id::Program, now_ms: u64) -> Result<(), Storage> {
+    fn close_one(&mut self, id: &id::Program, now_ms: u64) -> Result<(), Storage> {
         let Some(program) = self.programs.get_mut(id) else {
             return Ok(());
         };
@@ -67,7 +67,7 @@
         Ok(())
     }
 
-    pub(crate) fn return_to_parent(&mut self, id: &id::Program) {
+    fn return_to_parent(&mut self, id: &id::Program) {
         let Some(budget) = self.programs.get(id).map(|program| program.budget) else {
             return;
         };
--- a/crates/state/src/program/view.rs
+++ b/crates/state/src/program/view.rs
@@ -21,7 +21,7 @@
         })
     }
 
-    pub(crate) fn load_call(
+    fn load_call(
         &self,
         call: &id::Call,
         digest: &id::Digest,
@@ -88,7 +88,7 @@
     }
 }
 
-pub(crate) fn summary(id: &id::Program, program: &Program) -> Summary {
+fn summary(id: &id::Program, program: &Program) -> Summary {
     let running = program.current.as_ref().and_then(|current| {
         let call = id::Call { program: id.clone(), seq: program.next_seq() };
         Some((id::Attempt { call, number: current.attempt }, current.holder.clone()?))
--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -27,7 +27,7 @@
     pub(crate) clock: crate::clock::Clock,
     pub(crate) limits: Limits,
     pub(crate) stop: Stop,
-    pub(crate) tokens: Tokens,
+    pub(crate) tokens: Arc<Tokens>,
     pub(crate) rates: Rates,
     pub(crate) entry: Handle,
     pub(crate) journal: Arc<Journal>,
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -76,6 +76,7 @@
     /// Returns what keeps it from starting: an address in use, a file that cannot be read.
     pub async fn start(settings: Settings) -> Result<Node, Error> {
         let clock = Clock::new();
+        let tokens = Arc::new(Tokens::read(&settings.access).map_err(Error::new)?);
         let links = Links::new(&settings, peer_key(&settings)?).map_err(Error::new)?;
         let shared = Shared::new(&settings.name);
         links.set_handler(shared.clone());
@@ -88,8 +89,18 @@
         let entry = Entry::new(settings.entry.clone(), clock.epoch_ms(), rand::rng().next_u64());
         let entry = actor::start(entry, journal.clone(), client.clone(), metrics.clone());
         let groups = start_replicas(&settings, clock, &links, &shared).await?;
-        let parts =
-            Parts { settings, clock, links, shared, journal, client, metrics, entry, groups };
+        let parts = Parts {
+            settings,
+            clock,
+            links,
+            shared,
+            tokens,
+            journal,
+            client,
+            metrics,
+            entry,
+            groups,
+        };
         let controller = parts.start_controller();
         let inspect = parts.inspect(controller);
         let (callers_listener, callers_address) = listen(&parts.settings.listen.callers).await?;
@@ -98,8 +109,8 @@
         let (stop_lease, stopped) = watch::channel(false);
         let lease_task = parts.start_monitor(callers_address, stopped);
         parts.start_sweeper();
-        let callers = parts.callers()?;
-        let operators = parts.operators(inspect)?;
+        let callers = parts.callers();
+        let operators = parts.operators(inspect);
         let most = parts.settings.limits.connections;
         let servers = vec![
             serve(callers_listener, callers::router(callers.clone()), most)?,
@@ -178,6 +189,7 @@
     clock: Clock,
     links: Arc<Links>,
     shared: Arc<Shared>,
+    tokens: Arc<Tokens>,
     journal: Arc<Journal>,
     client: Client,
     metrics: Arc<Metrics>,
@@ -242,31 +254,31 @@
         tokio::spawn(sweeper.run());
     }
 
-    fn callers(&self) -> Result<Arc<Callers>, Error> {
+    fn callers(&self) -> Arc<Callers> {
         let limits = self.settings.limits.clone();
-        Ok(Arc::new(Callers {
+        Arc::new(Callers {
             clock: self.clock,
             rates: Rates::new(limits.requests_per_second, limits.request_burst),
             limits,
             stop: self.settings.stop.clone(),
-            tokens: Tokens::read(&self.settings.access).map_err(Error::new)?,
+            tokens: self.tokens.clone(),
             entry: self.entry.clone(),
             journal: self.journal.clone(),
             is_stopping: AtomicBool::new(false),
-        }))
+        })
     }
 
-    fn operators(&self, inspect: Arc<Inspect>) -> Result<Arc<Operators>, Error> {
-        Ok(Arc::new(Operators {
+    fn operators(&self, inspect: Arc<Inspect>) -> Arc<Operators> {
+        Arc::new(Operators {
             clock: self.clock,
-            tokens: Tokens::read(&self.settings.access).map_err(Error::new)?,
+            tokens: self.tokens.clone(),
             journal: self.journal.clone(),
             links: self.links.clone(),
             metrics: self.metrics.clone(),
             groups: self.groups.clone(),
             view: self.entry.view.clone(),
             inspect,
-        }))
+        })
     }
 }
 
--- a/crates/transport/src/operators.rs
+++ b/crates/transport/src/operators.rs
@@ -43,7 +43,7 @@
 /// What the handlers share.
 pub(crate) struct Operators {
     pub(crate) clock: crate::clock::Clock,
-    pub(crate) tokens: Tokens,
+    pub(crate) tokens: Arc<Tokens>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) links: Arc<Links>,
     pub(crate) metrics: Arc<Metrics>,
