--- a/crates/coordination/src/consensus/log.rs
+++ b/crates/coordination/src/consensus/log.rs
@@ -48,7 +48,7 @@
     /// Nothing; starts a leader's term.
     Empty,
     /// A command for the machine.
-    Data(Vec<u8>),
+    Data(#[serde(with = "serde_bytes")] Vec<u8>),
     /// New members, in effect as soon as the entry is appended.
     Members(Members),
 }
--- a/crates/coordination/src/consensus/message.rs
+++ b/crates/coordination/src/consensus/message.rs
@@ -78,6 +78,7 @@
         /// BLAKE3 digest of the whole.
         digest: [u8; 32],
         /// This part.
+        #[serde(with = "serde_bytes")]
         data: Vec<u8>,
     },
     /// Answers a part with the next offset wanted.
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -30,6 +30,7 @@
         /// The journal.
         group: u32,
         /// The encoded command.
+        #[serde(with = "serde_bytes")]
         command: Vec<u8>,
     },
     /// A query for a journal's leader.
@@ -37,6 +38,7 @@
         /// The journal.
         group: u32,
         /// The encoded query.
+        #[serde(with = "serde_bytes")]
         query: Vec<u8>,
     },
     /// A renewal of a lease, for the control leader.
@@ -109,7 +111,7 @@
     /// Received.
     Done,
     /// Encoded reply of a journal.
-    Data(Vec<u8>),
+    Data(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Another instance leads the journal.
     NotLeader(Option<String>),
     /// The command may or may not be in effect.
--- a/crates/state/src/journal.rs
+++ b/crates/state/src/journal.rs
@@ -1,9 +1,11 @@
 //! The write-ahead log of one replica.
 //!
-//! Records are length, CRC-32 and postcard body behind a magic word, in numbered segment
-//! files. Nothing is acknowledged before [`Journal::append`] has synced it. A record that
-//! is cut off by the end of the last file is a torn write and is dropped; any other
-//! record that fails its checksum is damage, and the journal refuses to open.
+//! Records are length, CRC-32, batch and postcard body behind a magic word, in numbered
+//! segment files. Nothing is acknowledged before [`Journal::append`] has synced it. The
+//! records of one append are one batch, named by the offset at which it begins. A power
+//! loss may tear the last batch in any way; what is left of it is dropped. A record that
+//! fails its checksum before an intact record of a later batch had been synced: that is
+//! damage, and the journal refuses to open.
 
 use crate::error::Storage;
 use crate::machine;
@@ -15,8 +17,8 @@
 /// First bytes of each record.
 const MAGIC: [u8; 4] = *b"BKTH";
 
-/// Bytes before the body: magic, length, checksum.
-const HEADER_BYTES: usize = 12;
+/// Bytes before the body: magic, length, checksum, offset of the batch.
+const HEADER_BYTES: usize = 20;
 
 /// Largest body, in bytes.
 const BODY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
@@ -31,6 +33,7 @@
         /// Its index.
         index: u64,
         /// The encoded entry.
+        #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
     /// Entries from this index on are gone.
@@ -42,6 +45,7 @@
         /// Opaque metadata of the snapshot, such as its term and members.
         meta: Vec<u8>,
         /// What [`machine::Machine::save`] gave.
+        #[serde(with = "serde_bytes")]
         state: Vec<u8>,
     },
 }
@@ -128,7 +132,7 @@
     fn write(&mut self, records: &[Record]) -> Result<(), Storage> {
         let mut buffer = Vec::new();
         for record in records {
-            encode(record, &mut buffer)?;
+            encode(record, self.bytes, &mut buffer)?;
         }
         self.file.write_all(&buffer)?;
         self.file.sync_data()?;
@@ -197,16 +201,24 @@
     Ok(numbers)
 }
 
-fn encode(record: &Record, buffer: &mut Vec<u8>) -> Result<(), Storage> {
+fn encode(record: &Record, batch: u64, buffer: &mut Vec<u8>) -> Result<(), Storage> {
     let body = machine::encode(record)?;
     let len = u32::try_from(body.len()).map_err(|_| Storage::Stopped)?;
     buffer.extend_from_slice(&MAGIC);
     buffer.extend_from_slice(&len.to_le_bytes());
-    buffer.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    buffer.extend_from_slice(&checksum(batch, &body).to_le_bytes());
+    buffer.extend_from_slice(&batch.to_le_bytes());
     buffer.extend_from_slice(&body);
     Ok(())
 }
 
+fn checksum(batch: u64, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&batch.to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
+
 /// Replays one file and returns its length after a torn tail was cut off.
 fn replay_file(path: &Path, is_last: bool, recovered: &mut Recovered) -> Result<u64, Storage> {
     let mut bytes = Vec::new();
@@ -214,14 +226,14 @@
     let mut offset = 0;
     while offset < bytes.len() {
         let rest = &bytes[offset..];
-        if is_last && is_torn(rest) {
+        let Some((_, body)) = intact(rest) else {
+            if !is_last || has_later_batch(&rest[1..], offset as u64) {
+                return Err(damage(path, offset));
+            }
             let file = OpenOptions::new().write(true).open(path)?;
             file.set_len(offset as u64)?;
             file.sync_all()?;
             break;
-        }
-        let Some(body) = intact_body(rest) else {
-            return Err(damage(path, offset));
         };
         recovered.replay(machine::decode(body)?);
         offset += HEADER_BYTES + body.len();
@@ -244,24 +256,16 @@
     (rest.starts_with(&MAGIC) && len <= BODY_LIMIT_BYTES).then_some(len)
 }
 
-fn intact_body(rest: &[u8]) -> Option<&[u8]> {
+/// Batch and body of the record that `rest` starts with, if its checksum holds.
+fn intact(rest: &[u8]) -> Option<(u64, &[u8])> {
     let len = body_len(rest)?;
+    let batch = u64::from_le_bytes(rest.get(12..HEADER_BYTES)?.try_into().ok()?);
     let body = rest.get(HEADER_BYTES..HEADER_BYTES + len)?;
-    (word(rest, 8)? == crc32fast::hash(body)).then_some(body)
-}
-
-/// Whether `rest` is the start of one record that the end of the file cuts off.
-///
-/// A damaged length field looks the same, so a whole record behind it means damage.
-fn is_torn(rest: &[u8]) -> bool {
-    let is_short = match body_len(rest) {
-        Some(len) => rest.len() < HEADER_BYTES + len,
-        None => rest.len() < HEADER_BYTES && MAGIC.starts_with(&rest[..rest.len().min(4)]),
-    };
-    is_short && !has_record(&rest[1..])
+    (word(rest, 8)? == checksum(batch, body)).then_some((batch, body))
 }
 
-fn has_record(bytes: &[u8]) -> bool {
+/// Whether an intact record follows whose batch began after `offset`.
+fn has_later_batch(bytes: &[u8], offset: u64) -> bool {
     let starts = bytes.windows(MAGIC.len()).enumerate().filter(|(_, window)| *window == MAGIC);
-    starts.map(|(at, _)| &bytes[at..]).any(|rest| intact_body(rest).is_some())
+    starts.filter_map(|(at, _)| intact(&bytes[at..])).any(|(batch, _)| batch > offset)
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,3 +14,5 @@
 pub mod journal;
 pub mod machine;
 pub mod program;
+pub mod registry;
+pub mod turn;
--- a/crates/state/tests/main.rs
+++ b/crates/state/tests/main.rs
@@ -6,3 +6,5 @@
 mod history;
 mod journal;
 mod programs;
+mod registry;
+mod turns;
--- /dev/null
+++ b/crates/state/tests/registry.rs
@@ -0,0 +1,35 @@
+//! The registry: configuration versions, founders, retirements.
+
+use state::registry::{Command, Document, Founder, Registry, Reply};
+
+fn put(registry: &mut Registry, version: u64, content: &[u8]) -> Reply {
+    registry.execute(Command::Put(Document { version, content: content.to_vec() }))
+}
+
+#[test]
+fn the_highest_version_holds_whatever_the_order() {
+    let mut registry = Registry::default();
+    assert_eq!(put(&mut registry, 7, b"seven"), Reply::Done);
+    assert_eq!(put(&mut registry, 3, b"three"), Reply::Superseded { version: 7 });
+    assert_eq!(put(&mut registry, 9, b"nine"), Reply::Done);
+    assert_eq!(registry.document.unwrap().content, b"nine");
+}
+
+#[test]
+fn other_content_under_the_held_version_changes_nothing() {
+    let mut registry = Registry::default();
+    put(&mut registry, 7, b"seven");
+    let revision = registry.revision;
+    assert_eq!(put(&mut registry, 7, b"other"), Reply::Superseded { version: 7 });
+    assert_eq!(registry.document.as_ref().unwrap().content, b"seven");
+    assert_eq!(registry.revision, revision);
+}
+
+#[test]
+fn only_the_first_founding_of_a_journal_counts() {
+    let mut registry = Registry::default();
+    let founders = |id| vec![Founder { id, address: format!("10.0.0.{id}:1") }];
+    registry.execute(Command::Found { group: 1, founders: founders(1) });
+    registry.execute(Command::Found { group: 1, founders: founders(2) });
+    assert_eq!(registry.founders[&1], founders(1));
+}
--- /dev/null
+++ b/crates/state/tests/turns.rs
@@ -0,0 +1,131 @@
+//! Turn chains and token budgets.
+
+use state::history::{Files, Memory};
+use state::machine::Machine;
+use state::turn::{Begin, Command, End, Record, Reply, Reserve, Turns};
+
+const KEEP_MS: u64 = 60_000;
+
+fn turns() -> Turns {
+    Turns::new(Box::new(Memory::default()))
+}
+
+fn begin(turn: &str, most: u64, now_ms: u64) -> Command {
+    let reserve = Reserve { program: "p".into(), budget: 1_000, most };
+    Command::Begin(Begin {
+        turn: turn.into(),
+        reserve: Some(reserve),
+        keep_ms: KEEP_MS,
+        now_ms,
+        ..Begin::default()
+    })
+}
+
+fn end(turn: &str, tokens: u64, now_ms: u64) -> Command {
+    let (turn, program) = (turn.into(), Some("p".into()));
+    Command::End(End { turn, program, tokens, now_ms, ..End::default() })
+}
+
+fn keep(turns: &mut Turns, turn: &str, previous: Option<&str>, now_ms: u64) {
+    let record = Record {
+        previous: previous.map(str::to_owned),
+        content: format!("<{turn}>").into_bytes(),
+        keep_ms: KEEP_MS,
+    };
+    let end = End { turn: turn.into(), record: Some(record), now_ms, ..End::default() };
+    assert_eq!(turns.execute(Command::End(end)).unwrap(), Reply::Done);
+}
+
+fn continues(turns: &mut Turns, previous: &str, now_ms: u64) -> Reply {
+    let begin = Begin {
+        turn: "next".into(),
+        previous: Some(previous.into()),
+        keep_ms: KEEP_MS,
+        now_ms,
+        ..Begin::default()
+    };
+    turns.execute(Command::Begin(begin)).unwrap()
+}
+
+#[test]
+fn turns_under_way_count_at_their_most() {
+    let mut turns = turns();
+    assert_eq!(turns.execute(begin("a", 600, 1)).unwrap(), Reply::Done);
+    assert_eq!(turns.execute(begin("b", 600, 2)).unwrap(), Reply::Exhausted { left: 400 });
+    turns.execute(end("a", 100, 3)).unwrap();
+    assert_eq!(turns.execute(begin("c", 600, 4)).unwrap(), Reply::Done);
+}
+
+#[test]
+fn a_begin_sent_again_reserves_once() {
+    let mut turns = turns();
+    turns.execute(begin("a", 500, 1)).unwrap();
+    assert_eq!(turns.execute(begin("a", 500, 2)).unwrap(), Reply::Done);
+    assert_eq!(turns.execute(begin("b", 500, 3)).unwrap(), Reply::Done);
+}
+
+#[test]
+fn a_begin_that_comes_after_its_end_reserves_nothing() {
+    let mut turns = turns();
+    turns.execute(end("a", 0, 1)).unwrap();
+    assert_eq!(turns.execute(begin("a", 900, 2)).unwrap(), Reply::Ended);
+    assert_eq!(turns.execute(begin("b", 900, 3)).unwrap(), Reply::Done);
+}
+
+#[test]
+fn an_end_sent_again_is_charged_once() {
+    let mut turns = turns();
+    turns.execute(begin("a", 500, 1)).unwrap();
+    turns.execute(end("a", 400, 2)).unwrap();
+    turns.execute(end("a", 400, 3)).unwrap();
+    assert_eq!(turns.execute(begin("b", 600, 4)).unwrap(), Reply::Done);
+}
+
+#[test]
+fn several_turns_may_continue_from_one() {
+    let mut turns = turns();
+    keep(&mut turns, "root", None, 1);
+    keep(&mut turns, "left", Some("root"), 2);
+    keep(&mut turns, "right", Some("root"), 3);
+    keep(&mut turns, "leaf", Some("left"), 4);
+    assert_eq!(turns.chain("leaf").unwrap().unwrap(), b"<root><left><leaf>");
+    assert_eq!(turns.chain("right").unwrap().unwrap(), b"<root><right>");
+    assert_eq!(turns.chain("other").unwrap(), None);
+}
+
+#[test]
+fn a_chain_is_kept_as_long_as_its_newest_turn() {
+    let mut turns = turns();
+    keep(&mut turns, "root", None, 1_000);
+    keep(&mut turns, "child", Some("root"), 50_000);
+    assert_eq!(continues(&mut turns, "child", 109_000), Reply::Done);
+    assert_eq!(turns.chain("child").unwrap().unwrap(), b"<root><child>");
+    assert_eq!(continues(&mut turns, "child", 300_000), Reply::NoSuchTurn);
+}
+
+#[test]
+fn a_clock_that_jumps_back_lets_nothing_expire() {
+    let mut turns = turns();
+    keep(&mut turns, "root", None, 1_000_000);
+    assert_eq!(continues(&mut turns, "root", 990_000), Reply::Done);
+    assert_eq!(continues(&mut turns, "root", 1_059_000), Reply::Done);
+}
+
+#[test]
+fn another_disk_gets_the_same_chains_and_budgets() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut first = turns();
+    keep(&mut first, "root", None, 1);
+    keep(&mut first, "child", Some("root"), 2);
+    first.execute(begin("a", 600, 3)).unwrap();
+    let files = Files::open(folder.path()).unwrap();
+    let mut second = Turns::new(Box::new(files));
+    second.import(&first.export().unwrap()).unwrap();
+    assert_eq!(second.chain("child").unwrap().unwrap(), b"<root><child>");
+    assert_eq!(second.execute(begin("b", 600, 4)).unwrap(), Reply::Exhausted { left: 400 });
+    let saved = second.save().unwrap();
+    drop(second);
+    let mut third = Turns::new(Box::new(Files::open(folder.path()).unwrap()));
+    third.load(&saved).unwrap();
+    assert_eq!(third.chain("child").unwrap().unwrap(), b"<root><child>");
+}
