--- a/crates/coordination/src/consensus/leader.rs
+++ b/crates/coordination/src/consensus/leader.rs
@@ -29,6 +29,8 @@
     sent: Millis,
     round: u64,
     snapshot: Option<Outgoing>,
+    /// Whether a snapshot was asked for that has not been offered.
+    awaits_snapshot: bool,
 }
 
 /// A snapshot being sent.
@@ -61,7 +63,16 @@
 
 impl Progress {
     fn new(next: u64, now: Millis) -> Self {
-        Self { matched: 0, next, in_flight: 0, seen: None, sent: now, round: 0, snapshot: None }
+        Self {
+            matched: 0,
+            next,
+            in_flight: 0,
+            seen: None,
+            sent: now,
+            round: 0,
+            snapshot: None,
+            awaits_snapshot: false,
+        }
     }
 }
 
@@ -182,7 +193,9 @@
         if peer.next <= base || peer.snapshot.is_some() {
             let is_missing = peer.snapshot.is_none();
             if is_missing {
-                self.ready.wants_snapshot.push(to);
+                if !std::mem::replace(&mut peer.awaits_snapshot, true) {
+                    self.ready.wants_snapshot.push(to);
+                }
             } else if is_stalled {
                 peer.sent = now;
                 self.send_chunk(to);
@@ -375,6 +388,7 @@
         let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&to)) else {
             return;
         };
+        peer.awaits_snapshot = false;
         let digest = *blake3::hash(&data).as_bytes();
         peer.next = meta.index + 1;
         peer.snapshot = Some(Outgoing { meta, digest, data, acknowledged: 0 });
--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -258,3 +258,26 @@
     assert!(follower.ready().install.is_none());
     assert_eq!(follower.commit(), 0);
 }
+
+#[test]
+fn a_snapshot_is_asked_for_once_whatever_is_proposed_meanwhile() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three[..2], 0);
+    for token in 0..5 {
+        three[0].propose(2_000, token, vec![1]).unwrap();
+        flow(&mut three[..2], 2_000);
+    }
+    let commit = three[0].commit();
+    three[0].compact(commit);
+    let mut asked = 0;
+    for now in 0..20 {
+        three[0].propose(2_000 + now, now, vec![1]).unwrap();
+        three[0].tick(2_000 + now * 60);
+        // The third replica lacks everything and says so.
+        let term = three[0].term();
+        let reply = Message::AppendReply { term, is_ok: false, index: 0, round: 0 };
+        three[0].receive(2_000 + now * 60, 3, reply);
+        asked += settle(&mut three[0]).wants_snapshot.len();
+    }
+    assert_eq!(asked, 1);
+}
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -11,10 +11,14 @@
 use std::fs::{File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Size at which a segment file is closed, in bytes.
 const SEGMENT_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Bytes that [`Store::append_all`] gathers before it writes; bounds its memory.
+const WRITE_BYTES: usize = 1024 * 1024;
+
 /// Where an item lies.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Locator {
@@ -37,6 +41,16 @@
     pub offset: u64,
 }
 
+/// Reads history items beside the [`Store`].
+pub trait Reader: Send {
+    /// Reads `len` bytes of a segment, which may hold several items.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn span(&self, segment: u64, offset: u64, len: usize) -> Result<Vec<u8>, Storage>;
+}
+
 /// Append-only storage of history items.
 pub trait Store: Send {
     /// Appends one item.
@@ -53,6 +67,18 @@
     /// Returns [`Storage::Damaged`] if the item differs from what was appended.
     fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage>;
 
+    /// Appends items in order, with as few writes as they need.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn append_all(&mut self, items: &[&[u8]]) -> Result<Vec<Locator>, Storage> {
+        items.iter().map(|item| self.append(item)).collect()
+    }
+
+    /// A reader of what is there now, for another thread.
+    fn reader(&self) -> Box<dyn Reader>;
+
     /// Makes everything appended durable and returns where it ends.
     ///
     /// # Errors
@@ -76,32 +102,41 @@
 }
 
 /// History in memory, for tests and single-use tools.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Memory {
-    items: Vec<Vec<u8>>,
+    bytes: Vec<u8>,
+}
+
+impl Reader for Memory {
+    fn span(&self, _segment: u64, offset: u64, len: usize) -> Result<Vec<u8>, Storage> {
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let bytes = self.bytes.get(start..start.saturating_add(len));
+        bytes.map(<[u8]>::to_vec).ok_or(Storage::Stopped)
+    }
 }
 
 impl Store for Memory {
     fn append(&mut self, item: &[u8]) -> Result<Locator, Storage> {
-        let offset = self.items.len() as u64;
-        self.items.push(item.to_vec());
+        let offset = self.bytes.len() as u64;
+        self.bytes.extend_from_slice(item);
         Ok(Locator { segment: 0, offset, len: item.len() as u64, crc: crc32fast::hash(item) })
     }
 
     fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage> {
-        usize::try_from(locator.offset)
-            .ok()
-            .and_then(|index| self.items.get(index))
-            .cloned()
-            .ok_or_else(|| damaged(locator))
+        let len = usize::try_from(locator.len).map_err(|_| damaged(locator))?;
+        self.span(0, locator.offset, len).map_err(|_| damaged(locator))
+    }
+
+    fn reader(&self) -> Box<dyn Reader> {
+        Box::new(self.clone())
     }
 
     fn sync(&mut self) -> Result<Position, Storage> {
-        Ok(Position { segment: 0, offset: self.items.len() as u64 })
+        Ok(Position { segment: 0, offset: self.bytes.len() as u64 })
     }
 
     fn rewind(&mut self, position: Position) -> Result<(), Storage> {
-        self.items.truncate(usize::try_from(position.offset).unwrap_or(usize::MAX));
+        self.bytes.truncate(usize::try_from(position.offset).unwrap_or(usize::MAX));
         Ok(())
     }
 
@@ -114,7 +149,7 @@
 #[derive(Debug)]
 pub struct Files {
     folder: PathBuf,
-    segments: Map<u64, File>,
+    segments: Map<u64, Arc<File>>,
     end: Position,
 }
 
@@ -149,22 +184,49 @@
         let path = self.path(segment);
         let file =
             OpenOptions::new().create(true).truncate(false).read(true).write(true).open(path)?;
-        self.segments.insert(segment, file);
+        self.segments.insert(segment, Arc::new(file));
         Ok(())
     }
 
     fn last(&self) -> Result<&File, Storage> {
-        self.segments.get(&self.end.segment).ok_or(Storage::Stopped)
+        self.segments.get(&self.end.segment).map(Arc::as_ref).ok_or(Storage::Stopped)
     }
-}
 
-impl Store for Files {
-    fn append(&mut self, item: &[u8]) -> Result<Locator, Storage> {
+    /// Starts a new segment if the last one is full.
+    fn make_room(&mut self) -> Result<(), Storage> {
         if self.end.offset >= SEGMENT_BYTES {
             self.last()?.sync_data()?;
             self.end = Position { segment: self.end.segment + 1, offset: 0 };
             self.open_segment(self.end.segment)?;
         }
+        Ok(())
+    }
+}
+
+impl Files {
+    fn flush(&mut self, buffer: &mut Vec<u8>) -> Result<(), Storage> {
+        self.last()?.write_all_at(buffer, self.end.offset)?;
+        self.end.offset += buffer.len() as u64;
+        buffer.clear();
+        Ok(())
+    }
+}
+
+/// Segment files that stay readable while others are appended or deleted.
+struct Segments(Map<u64, Arc<File>>);
+
+impl Reader for Segments {
+    fn span(&self, segment: u64, offset: u64, len: usize) -> Result<Vec<u8>, Storage> {
+        let file = self.0.get(&segment).ok_or(Storage::Stopped)?;
+        let mut bytes = vec![0; len];
+        file.read_exact_at(&mut bytes, offset)?;
+        Ok(bytes)
+    }
+}
+
+impl Store for Files {
+    fn append(&mut self, item: &[u8]) -> Result<Locator, Storage> {
+        self.make_room()?;
         self.last()?.write_all_at(item, self.end.offset)?;
         let locator = Locator {
             segment: self.end.segment,
@@ -186,6 +248,28 @@
         Ok(item)
     }
 
+    fn append_all(&mut self, items: &[&[u8]]) -> Result<Vec<Locator>, Storage> {
+        let mut locators = Vec::with_capacity(items.len());
+        let mut buffer = Vec::new();
+        self.make_room()?;
+        for item in items {
+            let offset = self.end.offset + buffer.len() as u64;
+            let (segment, len, crc) = (self.end.segment, item.len() as u64, crc32fast::hash(item));
+            locators.push(Locator { segment, offset, len, crc });
+            buffer.extend_from_slice(item);
+            if buffer.len() >= WRITE_BYTES {
+                self.flush(&mut buffer)?;
+                self.make_room()?;
+            }
+        }
+        self.flush(&mut buffer)?;
+        Ok(locators)
+    }
+
+    fn reader(&self) -> Box<dyn Reader> {
+        Box::new(Segments(self.segments.clone()))
+    }
+
     fn sync(&mut self) -> Result<Position, Storage> {
         self.last()?.sync_data()?;
         File::open(&self.folder)?.sync_all()?;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -2,6 +2,9 @@
 
 use crate::error::Storage;
 
+/// The rest of an export.
+pub type Exporter = Box<dyn FnOnce() -> Result<Vec<u8>, Storage> + Send>;
+
 /// Deterministic state driven by committed commands.
 ///
 /// Implementations must give the same replies for the same commands in the same order;
@@ -56,6 +59,17 @@
     /// Returns the storage error that stops the replica.
     fn export(&self) -> Result<Vec<u8>, Storage>;
 
+    /// The same as [`Machine::export`], to be finished on another thread while the machine
+    /// goes on; the state is that of now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the storage error that stops the replica.
+    fn exporter(&self) -> Result<Exporter, Storage> {
+        let exported = self.export()?;
+        Ok(Box::new(move || Ok(exported)))
+    }
+
     /// Replaces the whole state, bulk data included.
     ///
     /// # Errors
--- a/crates/transport/src/replica.rs
+++ b/crates/transport/src/replica.rs
@@ -182,6 +182,9 @@
     Ok(Handle { jobs, status })
 }
 
+/// A state for another replica, where it ends, and whom it is for.
+type Export = (Id, Meta, Result<Vec<u8>, Storage>);
+
 struct Thread {
     group: u32,
     id: Id,
@@ -193,6 +196,7 @@
     planner: Option<Planner>,
     present: Vec<Candidate>,
     planned: Millis,
+    exports: (Sender<Export>, Receiver<Export>),
     compact_bytes: u64,
     names: Map<Id, String>,
     next_token: u64,
@@ -227,6 +231,7 @@
             planner: start.planner,
             present: Vec::new(),
             planned: 0,
+            exports: channel(),
             compact_bytes: start.compact_bytes,
             names: Map::default(),
             next_token: 0,
@@ -354,6 +359,7 @@
     }
 
     fn work(&mut self) -> Result<(), Storage> {
+        self.offer_exports()?;
         loop {
             let ready = self.replica.ready();
             if ready.is_empty() {
@@ -388,12 +394,40 @@
             self.reply(token, Outcome::Unknown);
         }
         for peer in ready.wants_snapshot {
-            let meta = self.replica.meta_at(self.applied);
-            self.replica.offer_snapshot(peer, meta, self.machine.export()?);
+            self.export(peer)?;
         }
         self.compact_if_large()
     }
 
+    /// Lets another thread export the state for a replica that lags: reading all history
+    /// takes longer than an election.
+    fn export(&self, peer: Id) -> Result<(), Storage> {
+        let meta = self.replica.meta_at(self.applied);
+        let exporter = self.machine.exporter()?;
+        let exports = self.exports.0.clone();
+        std::thread::Builder::new().name("export".to_owned()).spawn(move || {
+            // The replica may have stopped meanwhile.
+            drop(exports.send((peer, meta, exporter())));
+        })?;
+        Ok(())
+    }
+
+    /// Offers the exports that are ready.
+    fn offer_exports(&mut self) -> Result<(), Storage> {
+        while let Ok((peer, meta, exported)) = self.exports.1.try_recv() {
+            let exported = exported?;
+            tracing::info!(
+                group = self.group,
+                peer,
+                index = meta.index,
+                bytes = exported.len(),
+                "snapshot for a replica that lags"
+            );
+            self.replica.offer_snapshot(peer, meta, exported);
+        }
+        Ok(())
+    }
+
     fn persist(&mut self, records: &[Record]) -> Result<(), Storage> {
         let before = (Instant::now(), self.log.bytes());
         self.log.append(records)?;
