--- a/crates/coordination/src/consensus/leader.rs
+++ b/crates/coordination/src/consensus/leader.rs
@@ -182,6 +182,8 @@
         let (base, last, window) =
             (self.log.base_index(), self.log.last_index(), self.settings.window);
         let (now, retry_ms) = (self.now, self.settings.election_ms);
+        // A replica that is gone must not cost an export.
+        let is_heard = |peer: &Progress| peer.seen.is_some_and(|seen| seen + retry_ms * 2 > now);
         let Some(leadership) = self.leadership() else {
             return;
         };
@@ -193,7 +195,7 @@
         if peer.next <= base || peer.snapshot.is_some() {
             let is_missing = peer.snapshot.is_none();
             if is_missing {
-                if !std::mem::replace(&mut peer.awaits_snapshot, true) {
+                if is_heard(peer) && !std::mem::replace(&mut peer.awaits_snapshot, true) {
                     self.ready.wants_snapshot.push(to);
                 }
             } else if is_stalled {
