--- a/crates/coordination/src/consensus/leader.rs
+++ b/crates/coordination/src/consensus/leader.rs
@@ -6,6 +6,10 @@
 use crate::consensus::replica::{Id, NotLeader, Replica, Role};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Times the shortest election time for which a replica may be silent before it gets
+/// heartbeats only.
+const SILENT_RETRIES: Millis = 2;
+
 /// State of a leader's term.
 #[derive(Debug)]
 pub struct Leadership {
@@ -182,20 +186,26 @@
         let (base, last, window) =
             (self.log.base_index(), self.log.last_index(), self.settings.window);
         let (now, retry_ms) = (self.now, self.settings.election_ms);
-        // A replica that is gone must not cost an export.
-        let is_heard = |peer: &Progress| peer.seen.is_some_and(|seen| seen + retry_ms * 2 > now);
         let Some(leadership) = self.leadership() else {
             return;
         };
-        let round = leadership.round;
+        let (round, since) = (leadership.round, leadership.since);
         let Some(peer) = leadership.peers.get_mut(&to) else {
             return;
         };
+        if peer.seen.unwrap_or(since) + retry_ms * SILENT_RETRIES <= now {
+            // Entries and exports for a replica that is gone would pile up on the way.
+            if is_heartbeat {
+                self.send_empty(to, base, round);
+            }
+            return;
+        }
         let is_stalled = peer.sent + retry_ms <= now;
         if peer.next <= base || peer.snapshot.is_some() {
             let is_missing = peer.snapshot.is_none();
             if is_missing {
-                if is_heard(peer) && !std::mem::replace(&mut peer.awaits_snapshot, true) {
+                let is_heard = peer.seen.is_some();
+                if is_heard && !std::mem::replace(&mut peer.awaits_snapshot, true) {
                     self.ready.wants_snapshot.push(to);
                 }
             } else if is_stalled {
--- a/crates/coordination/src/consensus/replica.rs
+++ b/crates/coordination/src/consensus/replica.rs
@@ -32,9 +32,9 @@
         Self {
             election_ms: 400,
             heartbeat_ms: 60,
-            batch_bytes: 512 * 1024,
+            batch_bytes: 128 * 1024,
             chunk_bytes: 256 * 1024,
-            window: 16,
+            window: 8,
         }
     }
 }
--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -281,3 +281,38 @@
     }
     assert_eq!(asked, 1);
 }
+
+#[test]
+fn a_silent_replica_gets_heartbeats_only_until_it_answers() {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three, 0);
+    let mut bytes = 0;
+    for step in 1..100 {
+        let now = 2_000 + step * 60;
+        three[0].propose(now, step, vec![0; 10_000]).unwrap();
+        three[0].tick(now);
+        let ready = settle(&mut three[0]);
+        for (to, message) in ready.early.into_iter().chain(ready.late) {
+            match (to, &message) {
+                (3, Message::Append { entries, .. }) => {
+                    bytes += entries.iter().map(Entry::size).sum::<usize>();
+                }
+                (2, _) => {
+                    three[1].receive(now, 1, message);
+                    let answers = settle(&mut three[1]);
+                    for (_, answer) in answers.early.into_iter().chain(answers.late) {
+                        three[0].receive(now, 2, answer);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(three[0].is_leader());
+    assert!(bytes < 500_000, "{bytes} bytes were sent to a replica that is gone");
+    for step in 100..120 {
+        three[0].tick(2_000 + step * 60);
+        flow(&mut three, 2_000 + step * 60);
+    }
+    assert_eq!(three[0].matched(3), Some(three[0].last_index()));
+}
--- a/crates/transport/src/fabric.rs
+++ b/crates/transport/src/fabric.rs
@@ -53,6 +53,10 @@
 /// Frames that may wait for one peer; more are dropped, as a network may.
 const QUEUE: usize = 2_048;
 
+/// Bytes of one-way messages that may wait for one peer; more are dropped. A peer that is
+/// cut off must not fill the memory of a small machine.
+const QUEUE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Bytes that are written at once, about; bounds the buffer of a burst.
 const BURST_BYTES: usize = 256 * 1024;
 
@@ -126,11 +130,18 @@
     Call { number: u64, frame: Bytes, reply: oneshot::Sender<Response> },
 }
 
+/// The queue of one peer.
+struct Queue {
+    orders: mpsc::Sender<Order>,
+    /// Bytes of the one-way messages in it.
+    bytes: Arc<AtomicUsize>,
+}
+
 /// All connections of one instance.
 pub(crate) struct Fabric {
     address: String,
     runtime: tokio::runtime::Handle,
-    peers: Mutex<Map<String, mpsc::Sender<Order>>>,
+    peers: Mutex<Map<String, Queue>>,
     handler: OnceLock<Arc<dyn Handler>>,
     next: AtomicU64,
 }
@@ -175,12 +186,21 @@
     fn send(&self, to: &str, order: Order) -> Result<(), Unreachable> {
         let mut peers = self.peers.lock().map_err(|_| Unreachable)?;
         let queue = peers.entry(to.to_owned()).or_insert_with(|| {
-            let (queue, inbox) = mpsc::channel(QUEUE);
-            let link = Link { own: self.address.clone(), peer: to.to_owned(), inbox };
-            self.runtime.spawn(link.run());
-            queue
+            let (orders, inbox) = mpsc::channel(QUEUE);
+            let bytes = Arc::new(AtomicUsize::new(0));
+            let (own, peer) = (self.address.clone(), to.to_owned());
+            self.runtime.spawn(Link { own, peer, inbox, bytes: bytes.clone() }.run());
+            Queue { orders, bytes }
         });
-        queue.try_send(order).map_err(|_| Unreachable)
+        let size = order.cast_bytes();
+        if size > 0 && queue.bytes.load(Ordering::Relaxed) + size > QUEUE_BYTES {
+            return Err(Unreachable);
+        }
+        queue.bytes.fetch_add(size, Ordering::Relaxed);
+        queue.orders.try_send(order).map_err(|_| {
+            queue.bytes.fetch_sub(size, Ordering::Relaxed);
+            Unreachable
+        })
     }
 
     /// Serves other instances for as long as the process runs.
@@ -313,11 +333,34 @@
     own: String,
     peer: String,
     inbox: mpsc::Receiver<Order>,
+    bytes: Arc<AtomicUsize>,
+}
+
+impl Order {
+    /// Bytes that count against the queue.
+    fn cast_bytes(&self) -> usize {
+        match self {
+            Self::Cast(frame) => frame.len(),
+            Self::Call { .. } => 0,
+        }
+    }
 }
 
 impl Link {
+    async fn next(&mut self) -> Option<Order> {
+        let order = self.inbox.recv().await?;
+        self.bytes.fetch_sub(order.cast_bytes(), Ordering::Relaxed);
+        Some(order)
+    }
+
+    fn try_next(&mut self) -> Option<Order> {
+        let order = self.inbox.try_recv().ok()?;
+        self.bytes.fetch_sub(order.cast_bytes(), Ordering::Relaxed);
+        Some(order)
+    }
+
     async fn run(mut self) {
-        while let Some(first) = self.inbox.recv().await {
+        while let Some(first) = self.next().await {
             let connect = async {
                 let address: SocketAddr = self.peer.parse().ok()?;
                 TcpStream::connect(address).await.ok()
@@ -332,7 +375,7 @@
                     tracing::debug!(peer = self.peer, "peer cannot be reached");
                     drop(first);
                     // What has gathered meanwhile would fail as well.
-                    while self.inbox.try_recv().is_ok() {}
+                    while self.try_next().is_some() {}
                     tokio::time::sleep(RECONNECT_PAUSE).await;
                 }
             }
@@ -360,13 +403,13 @@
                 return "write failed";
             }
             tokio::select! {
-                order = self.inbox.recv() => {
+                order = self.next() => {
                     let Some(order) = order else {
                         return "no longer needed";
                     };
                     session.push(order);
                     while session.buffer.len() < BURST_BYTES
-                        && let Ok(order) = self.inbox.try_recv()
+                        && let Some(order) = self.try_next()
                     {
                         session.push(order);
                     }
