fix(gateway): give connections back after bodies of known length

The server never polls a body again after its announced length, so the relay took every plain answer for one whose caller had left and closed the connection. Ruled out: idle times (all backend servers announce 10 s). Change: the relay ends with the last byte of such a body.

--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -178,6 +178,10 @@
                         turn.tokens = events.count * self.tokens_per_event;
                     }
                 }
+                if self.keep.is_none() && self.body.is_end_stream() {
+                    // Nobody polls again after the last byte of a body of known length.
+                    self.finish();
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
@@ -193,16 +197,13 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        if let Some(attempt) = self.attempt.take() {
-            attempt.finish(&self.headers);
-        }
         let is_success = (200..300).contains(&self.status);
         let parts = self.keep.take().filter(|_| is_success).zip(self.turn.take_if(|_| is_success));
         let Some((keep, turn)) = parts else {
-            self.turn = None;
-            self.end("whole");
+            self.finish();
             return Poll::Ready(None);
         };
+        self.release();
         let mut content = keep.input.to_vec();
         if let Some(events) = &self.events {
             content.extend_from_slice(&events.content);
@@ -214,6 +215,20 @@
         self.poll(context)
     }
 
+    /// The answer is whole and nothing of it is recorded.
+    fn finish(&mut self) {
+        self.release();
+        self.turn = None;
+        self.end("whole");
+    }
+
+    /// Gives the connection back after a whole answer.
+    fn release(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            attempt.finish(&self.headers);
+        }
+    }
+
     fn break_off(&mut self, broken: Broken) -> Broken {
         if let Some(attempt) = self.attempt.take() {
             let is_server = broken == Broken::Server;
