--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -30,6 +30,9 @@
     /// Ends it after a whole answer and keeps its connection.
     pub(crate) fn finish(mut self, headers: &http::HeaderMap) {
         self.outcome = Outcome::Answered;
+        if let Ok(mut retries) = self.entry.retries.lock() {
+            retries.deposit();
+        }
         if let Some(connection) = self.connection.take() {
             self.entry.pool.put(&self.server.address, connection, headers);
         }
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -9,9 +9,10 @@
 use crate::node::Error;
 use coordination::Millis;
 use coordination::placement::{self, Fleet};
+use coordination::retry::Budget;
 use protocol::routes::Table;
 use rand::RngExt;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -55,6 +56,10 @@
 /// Pause between two looks at the requests under way during a stop.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time without a word of any control instance after which this one may be cut off; some
+/// beats long.
+const CONTROL_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// Time between two sweeps of idle connections.
 const SWEEP_TIME: Duration = Duration::from_secs(1);
 
@@ -67,6 +72,9 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) under_way: AtomicUsize,
+    pub(crate) retries: Mutex<Budget>,
+    /// Whether the program journal did not answer the last time.
+    pub(crate) is_journal_lost: AtomicBool,
     table: RwLock<Option<Arc<Table>>>,
     list: Arc<dyn List>,
     stop: watch::Sender<server::Phase>,
@@ -97,6 +105,8 @@
             pool: Pool::default(),
             metrics: Metrics::new(),
             under_way: AtomicUsize::new(0),
+            retries: Mutex::default(),
+            is_journal_lost: AtomicBool::new(false),
             table: RwLock::new(None),
             list,
             stop,
@@ -139,6 +149,13 @@
         is_listed && is_serving && self.table().is_some() && !self.member.is_leaving()
     }
 
+    /// Whether neither the program journal nor a control instance is reached from here.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let silence = self.member.silence();
+        self.is_journal_lost.load(Ordering::Relaxed)
+            && silence.is_none_or(|silence| silence > CONTROL_SILENCE)
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.member.clock.now()
     }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -33,6 +33,14 @@
 /// Time to come back when the program journal did not answer: about one election.
 const RETRY_JOURNAL: Duration = Duration::from_millis(600);
 
+/// Time for one server to answer a request that may be repeated, in objectives: a slow but
+/// useful answer still comes, and there is time for a second server.
+const PATIENCE: f64 = 1.2;
+
+/// Wait for the program journal, and time to come back, while this instance reaches neither
+/// it nor a control instance: others do, so the caller is better served there.
+const CUT_OFF: Duration = Duration::from_millis(100);
+
 /// Least time with which a request is sent to a backend server.
 const LEAST_LEFT: Duration = Duration::from_millis(15);
 
@@ -224,8 +232,11 @@
             now_ms: 0,
         };
         let started = Instant::now();
-        let timeout = until.saturating_duration_since(started).mul_f64(JOURNAL_SHARE);
+        let left = until.saturating_duration_since(started).mul_f64(JOURNAL_SHARE);
+        let is_cut_off = self.entry.is_cut_off();
+        let timeout = if is_cut_off { left.min(CUT_OFF) } else { left };
         let (turn, begun) = Turn::begin(&self.entry.member, begin, timeout).await;
+        self.entry.is_journal_lost.store(begun.is_err(), Ordering::Relaxed);
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
         match begun {
             Ok(Begun::Go(before)) => Ok((Some(turn), before)),
@@ -237,7 +248,8 @@
                 Err(Refusal::new(Kind::UnknownCall, "the turn to continue from is not kept").into())
             }
             Err(error) => {
-                Err(Refusal::later(Kind::Unavailable, RETRY_JOURNAL, error.to_string()).into())
+                let pause = if is_cut_off { CUT_OFF } else { RETRY_JOURNAL };
+                Err(Refusal::later(Kind::Unavailable, pause, error.to_string()).into())
             }
         }
     }
@@ -322,7 +334,8 @@
             let Some(request) = self.outbound(send, &dispatch) else {
                 return Tried::NotReached;
             };
-            let response = match tokio::time::timeout(left, connection.send(request)).await {
+            let sent = self.wait(send, connection.send(request), left).await;
+            let response = match sent {
                 Ok(Ok(response)) => response,
                 Ok(Err(Failure::NotSent)) if !is_new => continue,
                 Ok(Err(Failure::NotSent)) => {
@@ -333,12 +346,39 @@
                     attempt.settle(Outcome::Failed);
                     return Tried::Lost(detail);
                 }
-                Err(_) => return Tried::Late,
+                Err(Elapsed::Patience) => {
+                    return Tried::Lost("no answer for longer than the objective".to_owned());
+                }
+                Err(Elapsed::All) => return Tried::Late,
             };
             return self.judge(response, attempt, &dispatch).await;
         }
     }
 
+    /// Waits for an answer; a request that may be repeated waits less for its first servers,
+    /// as long as the budget for retries lasts.
+    async fn wait<T>(
+        &self,
+        send: &Send<'_>,
+        answer: impl Future<Output = T>,
+        left: Duration,
+    ) -> Result<T, Elapsed> {
+        let may_repeat = send.route.repeat == Repeat::Always
+            && self.story.attempts + 1 < send.route.max_attempts;
+        let patience = send.route.objective.mul_f64(PATIENCE);
+        let mut answer = std::pin::pin!(answer);
+        if may_repeat && !patience.is_zero() && patience < left {
+            if let Ok(answer) = tokio::time::timeout(patience, &mut answer).await {
+                return Ok(answer);
+            }
+            if self.entry.retries.lock().is_ok_and(|mut budget| budget.withdraw()) {
+                return Err(Elapsed::Patience);
+            }
+        }
+        let rest = send.until.saturating_duration_since(Instant::now());
+        tokio::time::timeout(rest, answer).await.map_err(|_| Elapsed::All)
+    }
+
     async fn judge(
         &self,
         response: Response<Incoming>,
@@ -424,6 +464,14 @@
     until: Instant,
 }
 
+/// Which time is over.
+enum Elapsed {
+    /// That of one server; another may be asked.
+    Patience,
+    /// That of the request.
+    All,
+}
+
 /// How an attempt ended.
 enum Tried {
     Answered(Response<Incoming>, Attempt),
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Time since a control instance was heard; `None` if none ever was.
+    pub(crate) fn silence(&self) -> Option<Duration> {
+        self.known.borrow().heard.map(|heard| heard.elapsed())
+    }
+
     /// Whether the instance is on its way out.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
