--- a/crates/state/src/registry/machine.rs
+++ b/crates/state/src/registry/machine.rs
@@ -4,6 +4,7 @@
 use crate::machine::{self, Machine};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 
 /// A configuration as an operator sent it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,15 +93,15 @@
                 self.revision += 1;
             }
             Command::Found { group, founders } => {
-                if !self.founders.contains_key(&group) {
-                    self.founders.insert(group, founders);
+                if let Entry::Vacant(place) = self.founders.entry(group) {
+                    place.insert(founders);
                     self.revision += 1;
                 }
             }
             Command::Retire { instance } => {
-                if !self.retiring.contains_key(&instance) {
+                if let Entry::Vacant(place) = self.retiring.entry(instance) {
                     self.revision += 1;
-                    self.retiring.insert(instance, self.revision);
+                    place.insert(self.revision);
                 }
             }
         }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -129,7 +129,7 @@
                 request = way.story.id,
                 kind,
                 detail = refusal.detail,
-                retry_ms = refusal.retry_after.map(|pause| pause.as_millis()),
+                retry_ms = refusal.retry_after.map(millis),
                 "request refused"
             );
             way.story.tell(&kind, response.status().as_u16(), None, 0);
@@ -228,7 +228,7 @@
             turn: ask.id.clone(),
             reserve,
             previous,
-            keep_ms: u64::try_from(route.retention.as_millis()).unwrap_or(u64::MAX),
+            keep_ms: millis(route.retention),
             now_ms: 0,
         };
         let started = Instant::now();
@@ -262,7 +262,7 @@
             let server = self.choose(send, &tried).await?;
             let id = server.id.clone();
             match self.attempt(send, server).await {
-                Tried::Answered(response, attempt) => return Ok((response, attempt)),
+                Tried::Answered(answered) => return Ok(*answered),
                 Tried::NotReached if detours < DETOURS => detours += 1,
                 Tried::NotReached => {
                     let detail = "no backend server could be reached";
@@ -334,6 +334,16 @@
             let Some(request) = self.outbound(send, &dispatch) else {
                 return Tried::NotReached;
             };
+            tracing::info!(
+                request = send.ask.id,
+                server = id,
+                address,
+                attempt = self.story.attempts + 1,
+                new_connection = is_new,
+                left_ms = millis(left),
+                list_age_ms = self.story.list_age_ms,
+                "request sent"
+            );
             let sent = self.wait(send, connection.send(request), left).await;
             let response = match sent {
                 Ok(Ok(response)) => response,
@@ -388,7 +398,7 @@
         let (head, body) = response.into_parts();
         let verdict = self.entry.dialect.verdict(&head, dispatch);
         if verdict == Verdict::Answer {
-            return Tried::Answered(Response::from_parts(head, body), attempt);
+            return Tried::Answered(Box::new((Response::from_parts(head, body), attempt)));
         }
         tracing::info!(request = dispatch.id, server = dispatch.server, ?verdict, "not answered");
         if verdict == Verdict::Foreign {
@@ -474,7 +484,7 @@
 
 /// How an attempt ended.
 enum Tried {
-    Answered(Response<Incoming>, Attempt),
+    Answered(Box<(Response<Incoming>, Attempt)>),
     /// It has not run.
     NotReached,
     /// It has not run, for lack of room.
@@ -485,6 +495,10 @@
     Late,
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn tokens_per_event(table: &Table, service: &str) -> u64 {
     table.service(service).map_or(0, |service| service.tokens_per_event)
 }
