feat(gateway): entries share their loads; one reader of the list of backend servers

Change: beats carry what an entry has outstanding, answers the sum of the others'; the control instance that leads reads the list and relays it, entries read it themselves when it is 1.6 s old; connections are given up after 250 ms.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -1,22 +1,29 @@
 //! Which backend server runs a request.
 //!
-//! Load pattern: many instances decide alone, each for the callers of its failure domain.
+//! Load pattern: many instances decide alone, each for the callers of its failure domain,
+//! and a burst fills some servers before others. A server's load is what this instance has
+//! outstanding there and what the others said some hundred milliseconds ago.
+//!
 //! A session's requests go to the same backend server, whose cache then holds what the
-//! session said, unless that server has clearly more of this instance's requests than its
-//! share: rendezvous hashing with a bound on the load. Requests without a session go to
-//! the server with the least outstanding. Servers of the own failure domain come first;
-//! others are used when the own ones are full, suspended or gone.
+//! session said, unless that server has clearly more than its share of the load and more
+//! than half of its slots taken: rendezvous hashing with a bound on the load. Requests
+//! without a session go to the server with the least load. Servers of the own failure
+//! domain come first; others are used when the own ones are full, suspended or gone.
 
 use crate::Millis;
 use crate::routing;
+use serde::{Deserialize, Serialize};
 use state::collections::Map;
 
 /// Bounds of the decision.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Share of the average load that a session's server may have before the next one is
-    /// used, in percent; the usual figure of hashing with bounded loads.
+    /// used, in percent; within the usual range of hashing with bounded loads.
     pub bound_percent: u32,
+    /// Share of its slots up to which a session's server is used whatever the others have, in
+    /// percent; below it an engine's steps take little longer than alone.
+    pub free_percent: u32,
     /// First suspension of a server that could not be reached, in milliseconds; a few
     /// connection attempts long.
     pub suspend_ms: Millis,
@@ -29,12 +36,18 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { bound_percent: 150, suspend_ms: 250, suspend_most_ms: 2_000, full_ms: 50 }
+        Self {
+            bound_percent: 125,
+            free_percent: 50,
+            suspend_ms: 250,
+            suspend_most_ms: 2_000,
+            full_ms: 50,
+        }
     }
 }
 
 /// A backend server as the platform's list shows it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
     /// Its id.
     pub id: String,
@@ -83,11 +96,18 @@
     pub listed: Listed,
     /// Requests of this instance that it runs.
     pub outstanding: u32,
+    /// Requests of the other instances, as they said last.
+    pub others: u32,
     failures: u32,
     suspended_until: Millis,
 }
 
 impl Server {
+    /// Requests that it runs, as far as is known.
+    pub fn load(&self) -> u32 {
+        self.outstanding.saturating_add(self.others)
+    }
+
     /// Whether it may be chosen at `now`.
     pub fn is_open(&self, now: Millis) -> bool {
         !self.listed.is_draining && self.suspended_until <= now
@@ -155,7 +175,9 @@
             }
             let server = match old.filter(|old| old.listed.address == listed.address) {
                 Some(old) => Server { listed, ..old },
-                None => Server { listed, outstanding: 0, failures: 0, suspended_until: 0 },
+                None => {
+                    Server { listed, outstanding: 0, others: 0, failures: 0, suspended_until: 0 }
+                }
             };
             servers.insert(server.listed.id.clone(), server);
         }
@@ -166,6 +188,29 @@
         changes
     }
 
+    /// The same list was read again.
+    pub fn confirm(&mut self, now: Millis) {
+        self.listed_at = Some(now);
+    }
+
+    /// Takes what the other instances have outstanding on each server.
+    pub fn share(&mut self, loads: &[(String, u32)]) {
+        for server in self.servers.values_mut() {
+            server.others = 0;
+        }
+        for (id, load) in loads {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.others = *load;
+            }
+        }
+    }
+
+    /// What this instance has outstanding, for the others.
+    pub fn loads(&self) -> Vec<(String, u32)> {
+        let busy = self.servers.iter().filter(|(_, server)| server.outstanding > 0);
+        busy.map(|(id, server)| (id.clone(), server.outstanding)).collect()
+    }
+
     /// Age of the list, in milliseconds; `None` before the first.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         Some(now.saturating_sub(self.listed_at?))
@@ -197,12 +242,12 @@
             .collect();
         let is_near = |server: &&Server| server.listed.failure_domain == self.failure_domain;
         let near: Vec<&Server> = open.iter().copied().filter(is_near).collect();
-        let has_room = |server: &&Server| server.outstanding < server.listed.slots;
+        let has_room = |server: &&Server| server.load() < server.listed.slots;
         let pool = if near.iter().any(has_room) { near } else { open };
         let server = match wish.session {
             Some(session) => self.bounded(&pool, session),
             None => pool.into_iter().min_by_key(|server| {
-                (server.outstanding, routing::score(&self.failure_domain, &server.listed.id))
+                (server.load(), routing::score(&self.failure_domain, &server.listed.id))
             }),
         };
         server.map(|server| &server.listed)
@@ -210,10 +255,11 @@
 
     /// The session's first server whose load is within the bound.
     fn bounded<'a>(&self, pool: &[&'a Server], session: &str) -> Option<&'a Server> {
-        let total: u32 = pool.iter().map(|server| server.outstanding).sum();
+        let total: u32 = pool.iter().map(|server| server.load()).sum();
         let count = u32::try_from(pool.len()).unwrap_or(u32::MAX).max(1);
         let bound = ((total + 1) * self.settings.bound_percent).div_ceil(100 * count).max(1);
-        let within = pool.iter().copied().filter(|server| server.outstanding < bound);
+        let free = |server: &Server| server.listed.slots * self.settings.free_percent / 100;
+        let within = pool.iter().copied().filter(|s| s.load() < bound.max(free(s)));
         within.max_by_key(|server| routing::score(session, &server.listed.id))
     }
 
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -43,6 +43,56 @@
     assert_ne!(pick(&fleet, 0, Some("session")).unwrap(), first);
 }
 
+#[test]
+fn what_other_instances_have_outstanding_counts() {
+    let mut fleet = fleet(&[("s1", "a"), ("s2", "a"), ("s3", "a")]);
+    let first = pick(&fleet, 0, Some("session")).unwrap();
+    fleet.share(&[(first.clone(), 3), ("unknown".into(), 9)]);
+    assert_ne!(pick(&fleet, 0, Some("session")).unwrap(), first);
+    assert_ne!(pick(&fleet, 0, None).unwrap(), first);
+    fleet.share(&[(first.clone(), 1)]);
+    assert_eq!(pick(&fleet, 0, Some("session")).unwrap(), first, "half of the slots are free");
+    fleet.begin(&first);
+    assert_eq!(fleet.loads(), [(first, 1)]);
+}
+
+/// Two bursts of sessions over four entries: how many requests meet a full server.
+fn overflow(shares: bool) -> u32 {
+    let names: Vec<String> = (0..6).map(|n| format!("s{n}")).collect();
+    let list: Vec<Listed> = names.iter().map(|id| Listed { slots: 8, ..listed(id, "a") }).collect();
+    let mut entries: Vec<Fleet> = (0..4).map(|_| Fleet::new(Settings::default(), "a")).collect();
+    entries.iter_mut().for_each(|entry| drop(entry.update(0, list.clone())));
+    let mut met = 0;
+    for request in 0..40 {
+        let at = request % 4;
+        let session = format!("session-{request}");
+        let id = pick(&entries[at], 0, Some(&session)).unwrap();
+        let load: u32 = entries.iter().map(|e| e.get(&id).unwrap().outstanding).sum();
+        met += u32::from(load >= 8);
+        entries[at].begin(&id);
+        // Each entry hears of the others after every eighth request.
+        if shares && request % 8 == 7 {
+            let loads: Vec<Vec<(String, u32)>> = entries.iter().map(Fleet::loads).collect();
+            for (own, entry) in entries.iter_mut().enumerate() {
+                let mut sums: Vec<(String, u32)> = names.iter().map(|n| (n.clone(), 0)).collect();
+                let others = loads.iter().enumerate().filter(|(other, _)| *other != own);
+                for (id, load) in others.flat_map(|(_, loads)| loads) {
+                    sums.iter_mut().filter(|(name, _)| name == id).for_each(|(_, s)| *s += load);
+                }
+                entry.share(&sums);
+            }
+        }
+    }
+    met
+}
+
+#[test]
+fn a_burst_meets_fewer_full_servers_if_entries_share_their_loads() {
+    let (alone, shared) = (overflow(false), overflow(true));
+    assert!(shared < alone, "{shared} requests met a full server, {alone} without sharing");
+    assert!(shared <= 1, "{shared} requests met a full server");
+}
+
 #[test]
 fn the_own_failure_domain_comes_first_until_it_is_full() {
     let mut fleet = fleet(&[("near", "a"), ("far", "b")]);
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -6,6 +6,7 @@
 
 use coordination::consensus::Id;
 use coordination::membership::Candidate;
+use coordination::placement::Listed;
 use serde::{Deserialize, Serialize};
 use state::registry::Registry;
 
@@ -39,6 +40,21 @@
     pub replica: Option<Held>,
     /// Revision of the registry that it knows, or 0.
     pub revision: u64,
+    /// Digest of the list of backend servers that it knows, or 0.
+    pub list: u64,
+    /// Requests that it has outstanding, by backend server.
+    pub loads: Vec<(String, u32)>,
+}
+
+/// The list of backend servers as a control instance relays it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relayed {
+    /// Digest of the list.
+    pub digest: u64,
+    /// Time since it was read, in milliseconds.
+    pub age_ms: u64,
+    /// The list, unless the receiver has the one of this digest.
+    pub servers: Option<Vec<Listed>>,
 }
 
 /// A replica as its instance sees it.
@@ -71,4 +87,8 @@
     pub candidates: Vec<Candidate>,
     /// Revision of the registry by which `candidates` were marked as leaving.
     pub revision: u64,
+    /// The list of backend servers, for entries and control instances.
+    pub list: Option<Relayed>,
+    /// Requests that the other entries have outstanding, by backend server.
+    pub loads: Vec<(String, u32)>,
 }
--- a/crates/transport/src/fabric.rs
+++ b/crates/transport/src/fabric.rs
@@ -30,7 +30,7 @@
 const PREFACE: [u8; 8] = *b"BKSHELF1";
 
 /// Time for a connection to a peer; some round trips between failure domains.
-const CONNECT_TIME: Duration = Duration::from_millis(500);
+const CONNECT_TIME: Duration = Duration::from_millis(250);
 
 /// Pause after a connection failed, so that a peer that is down is not asked in a loop.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -6,17 +6,19 @@
 use crate::gateway::pool::Pool;
 use crate::gateway::server;
 use crate::member::Member;
+use crate::member::servers::Held;
 use crate::node::Error;
 use coordination::Millis;
 use coordination::placement::{self, Fleet};
 use coordination::retry::Budget;
 use protocol::routes::Table;
 use rand::RngExt;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -27,10 +29,10 @@
     pub failure_domain: String,
     /// Bounds of the choice of backend servers.
     pub placement: placement::Settings,
-    /// Time between two reads of the list of backend servers; a server that leaves must get
-    /// nothing after some seconds.
-    pub list_pause: Duration,
-    /// Pause after a read of the list failed.
+    /// Age at which the relayed list of backend servers is too old, so that the entry reads
+    /// it itself; a server that leaves must get nothing after some seconds.
+    pub list_stale: Duration,
+    /// Time between two looks at its age, and between two reads of its own.
     pub list_retry: Duration,
     /// Time for which callers may keep an address, the slowest of them: until then a
     /// stopping instance accepts requests.
@@ -45,7 +47,7 @@
             listen: String::new(),
             failure_domain: String::new(),
             placement: placement::Settings::default(),
-            list_pause: Duration::from_millis(1_000),
+            list_stale: Duration::from_millis(1_600),
             list_retry: Duration::from_millis(250),
             keep: Duration::from_millis(3_200),
             drain: Duration::from_millis(4_000),
@@ -75,6 +77,8 @@
     pub(crate) retries: Mutex<Budget>,
     /// Whether the program journal did not answer the last time.
     pub(crate) is_journal_lost: AtomicBool,
+    /// Digest of the list that the fleet was made of, or 0.
+    list_digest: AtomicU64,
     table: RwLock<Option<Arc<Table>>>,
     list: Arc<dyn List>,
     stop: watch::Sender<server::Phase>,
@@ -107,11 +111,18 @@
             under_way: AtomicUsize::new(0),
             retries: Mutex::default(),
             is_journal_lost: AtomicBool::new(false),
+            list_digest: AtomicU64::new(0),
             table: RwLock::new(None),
             list,
             stop,
         });
         tokio::spawn(entry.clone().follow_configuration());
+        let loads = Arc::downgrade(&entry);
+        entry.member.set_loads(Box::new(move || {
+            let entry = loads.upgrade();
+            entry.and_then(|e| Some(e.fleet.lock().ok()?.loads())).unwrap_or_default()
+        }));
+        tokio::spawn(entry.clone().follow_servers());
         tokio::spawn(entry.clone().follow_list());
         tokio::spawn(entry.clone().sweep());
         tokio::spawn(server::serve(entry.clone(), listener, phase));
@@ -197,39 +208,66 @@
         }
     }
 
-    /// Reads the list of backend servers again and again.
+    /// Takes what control instances relay of the backend servers.
+    async fn follow_servers(self: Arc<Self>) {
+        let mut servers = self.member.servers.subscribe();
+        while servers.changed().await.is_ok() {
+            let known = servers.borrow_and_update().clone();
+            if let Some(held) = &known.list {
+                self.take_list(held);
+            }
+            if let Ok(mut fleet) = self.fleet.lock() {
+                fleet.share(&known.loads);
+            }
+        }
+    }
+
+    fn take_list(&self, held: &Held) {
+        let age = u64::try_from(held.read.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let read = self.now().saturating_sub(age);
+        if let Ok(mut fleet) = self.fleet.lock() {
+            let digest = self.list_digest.swap(held.digest, Ordering::Relaxed);
+            if digest == held.digest {
+                fleet.confirm(read);
+            } else {
+                for change in fleet.update(read, held.servers.as_ref().clone()) {
+                    tracing::info!(%change, age, "backend server list changed");
+                }
+            }
+        }
+        self.member.set_ready(self.is_ready());
+    }
+
+    /// Reads the list itself while none is relayed.
     async fn follow_list(self: Arc<Self>) {
         let mut is_lost = false;
         loop {
-            let asked = self.now();
-            let pause = match self.list.read().await {
+            // Instances that lack the list together must not read it at the same moment.
+            let jitter = rand::rng().random_range(0.8..1.2);
+            tokio::time::sleep(self.settings.list_retry.mul_f64(jitter)).await;
+            let stale = u64::try_from(self.settings.list_stale.as_millis()).unwrap_or(u64::MAX);
+            let age = self.fleet.lock().ok().and_then(|fleet| fleet.age(self.now()));
+            if age.is_some_and(|age| age < stale) {
+                continue;
+            }
+            let read = Instant::now();
+            match self.list.read().await {
                 Ok(servers) => {
-                    let count = servers.len();
-                    if let Ok(mut fleet) = self.fleet.lock() {
-                        for change in fleet.update(asked, servers) {
-                            tracing::info!(%change, "backend server list changed");
-                        }
-                    }
                     self.metrics.list_read("read");
-                    if is_lost {
-                        tracing::info!(count, "list of backend servers regained");
+                    if std::mem::take(&mut is_lost) {
+                        tracing::info!(count = servers.len(), "list of backend servers regained");
                     }
-                    is_lost = false;
-                    self.member.set_ready(self.is_ready());
-                    self.settings.list_pause
+                    self.member.servers.send_modify(|known| {
+                        known.list = Some(Held::new(servers, read));
+                    });
                 }
                 Err(error) => {
                     self.metrics.list_read("failed");
-                    if !is_lost {
+                    if !std::mem::replace(&mut is_lost, true) {
                         tracing::warn!(%error, "list of backend servers lost");
                     }
-                    is_lost = true;
-                    self.settings.list_retry
                 }
-            };
-            // Instances that started together must not read at the same moment for ever.
-            let jitter = rand::rng().random_range(0.8..1.2);
-            tokio::time::sleep(pause.mul_f64(jitter)).await;
+            }
         }
     }
 
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 /// Time for a connection to a backend server; several round trips and a busy listener.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+const CONNECT_TIME: Duration = Duration::from_millis(250);
 
 /// Idle time of a connection whose server names none: below a second, since servers name
 /// whole seconds.
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -49,6 +49,8 @@
         is_ready: member.is_ready.load(Ordering::Relaxed) && !is_leaving,
         replica: held(member),
         revision: member.known.borrow().registry.revision,
+        list: member.servers.borrow().list.as_ref().map_or(0, |held| held.digest),
+        loads: member.loads.get().map(|loads| loads()).unwrap_or_default(),
     }
 }
 
@@ -81,6 +83,14 @@
         );
         member.learn(registry);
     }
+    if report.list.is_some() || !report.loads.is_empty() {
+        member.servers.send_modify(|known| {
+            if let Some(relayed) = report.list {
+                known.take(relayed);
+            }
+            known.loads = Arc::new(report.loads);
+        });
+    }
     member.known.send_modify(|known| {
         known.heard = Some(tokio::time::Instant::now());
         if !report.control.is_empty() {
--- a/crates/transport/src/member/mod.rs
+++ b/crates/transport/src/member/mod.rs
@@ -10,6 +10,7 @@
 mod operators;
 mod register;
 mod seat;
+pub(crate) mod servers;
 mod settings;
 
 pub use node::Member;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -6,7 +6,7 @@
 use crate::links::{self, Handler};
 use crate::member::register::Register;
 use crate::member::seat::{CONTROL, PROGRAMS, Seat, control_founders};
-use crate::member::{Settings, beats};
+use crate::member::{Settings, beats, servers};
 use crate::node::Error;
 use crate::replica::{Handle, Job};
 use coordination::membership::{self, Candidate};
@@ -58,6 +58,9 @@
     pub(crate) present_revision: AtomicU64,
     /// Asks for a beat before it is due.
     pub(crate) hurry: Notify,
+    /// What is known of the backend servers.
+    pub(crate) servers: watch::Sender<servers::Known>,
+    pub(crate) loads: OnceLock<servers::Loads>,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
 }
@@ -86,6 +89,8 @@
             is_leaving: AtomicBool::new(false),
             present_revision: AtomicU64::new(0),
             hurry: Notify::new(),
+            servers: watch::Sender::new(servers::Known::default()),
+            loads: OnceLock::new(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
             settings,
@@ -283,6 +288,13 @@
     fn report(&self, beat: Beat) -> Response {
         let registry = self.known.borrow().registry.clone();
         let (name, role, revision) = (beat.name.clone(), beat.role, beat.revision);
+        let list = match role {
+            Role::Entry | Role::Control => {
+                let known = self.servers.borrow();
+                known.list.as_ref().map(|held| held.relay(beat.list))
+            }
+            Role::Programs => None,
+        };
         let Ok(mut register) = self.register.lock() else {
             return Response::Unknown;
         };
@@ -306,6 +318,8 @@
             has_leader: leader.is_some(),
             candidates,
             revision: registry.revision,
+            list,
+            loads: if role == Role::Entry { register.loads(&name) } else { Vec::new() },
         };
         Response::Report(Box::new(report))
     }
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -85,6 +85,17 @@
         chosen.into_iter().filter_map(|beat| beat.callers.clone()).collect()
     }
 
+    /// Requests that all entries but `name` have outstanding, by backend server.
+    pub(crate) fn loads(&self, name: &str) -> Vec<(String, u32)> {
+        let mut sums: Map<&str, u32> = Map::default();
+        for beat in self.present(Role::Entry).filter(|beat| beat.name != name) {
+            for (server, load) in &beat.loads {
+                *sums.entry(server).or_default() += load;
+            }
+        }
+        sums.into_iter().map(|(server, load)| (server.to_owned(), load)).collect()
+    }
+
     /// Names, roles and ages of all instances, for an operator.
     pub(crate) fn dump(&self) -> Vec<serde_json::Value> {
         self.seen
--- /dev/null
+++ b/crates/transport/src/member/servers.rs
@@ -0,0 +1,114 @@
+//! What instances tell each other of the backend servers.
+//!
+//! The control instance that leads reads the platform's list; all others get it with the
+//! answers to their beats. Entries say what they have outstanding and hear the sum of what
+//! the others have.
+
+use crate::gateway::List;
+use crate::member::node::Member;
+use coordination::placement::Listed;
+use protocol::presence::Relayed;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time between two reads of the list by the control instance that leads; with a beat it
+/// reaches entries well within the seconds that a leaving server is used at most.
+const READ_PAUSE: Duration = Duration::from_millis(700);
+
+/// Pause between two looks of a control instance at whether it leads.
+const LEAD_PAUSE: Duration = Duration::from_millis(200);
+
+/// A list of backend servers and when it was read.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) digest: u64,
+    pub(crate) read: Instant,
+    pub(crate) servers: Arc<Vec<Listed>>,
+}
+
+/// What an instance knows of the backend servers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Known {
+    pub(crate) list: Option<Held>,
+    /// Requests that the other entries have outstanding.
+    pub(crate) loads: Arc<Vec<(String, u32)>>,
+}
+
+/// Says what this instance has outstanding.
+pub(crate) type Loads = Box<dyn Fn() -> Vec<(String, u32)> + Send + Sync>;
+
+impl Held {
+    pub(crate) fn new(mut servers: Vec<Listed>, read: Instant) -> Self {
+        servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        Self { digest: digest(&servers), read, servers: Arc::new(servers) }
+    }
+
+    /// The list for an instance that knows the one of `digest`.
+    pub(crate) fn relay(&self, digest: u64) -> Relayed {
+        let age_ms = u64::try_from(self.read.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let is_known = self.digest == digest;
+        let servers = (!is_known).then(|| self.servers.as_ref().clone());
+        Relayed { digest: self.digest, age_ms, servers }
+    }
+}
+
+impl Known {
+    /// Takes a relayed list if it was read later than the own one.
+    pub(crate) fn take(&mut self, relayed: Relayed) {
+        let Some(read) = Instant::now().checked_sub(Duration::from_millis(relayed.age_ms)) else {
+            return;
+        };
+        if self.list.as_ref().is_some_and(|held| held.read >= read) {
+            return;
+        }
+        match (relayed.servers, &mut self.list) {
+            (Some(servers), list) => *list = Some(Held::new(servers, read)),
+            (None, Some(held)) if held.digest == relayed.digest => held.read = read,
+            (None, _) => {}
+        }
+    }
+}
+
+/// Digest by which two lists are told apart; never 0.
+fn digest(servers: &[Listed]) -> u64 {
+    // A list always has an encoding; without one it would count as a new list.
+    let bytes = postcard::to_stdvec(servers).unwrap_or_default();
+    let mut word = [0; 8];
+    word.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
+    u64::from_le_bytes(word).max(1)
+}
+
+impl Member {
+    /// Reads the platform's list while this control instance leads.
+    pub async fn read_list(self: Arc<Self>, list: Arc<dyn List>) {
+        let mut is_lost = false;
+        loop {
+            if !self.handle().is_some_and(|handle| handle.leads()) {
+                tokio::time::sleep(LEAD_PAUSE).await;
+                continue;
+            }
+            let read = Instant::now();
+            match list.read().await {
+                Ok(servers) => {
+                    if std::mem::take(&mut is_lost) {
+                        tracing::info!("list of backend servers regained");
+                    }
+                    self.servers.send_modify(|known| known.list = Some(Held::new(servers, read)));
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut is_lost, true) {
+                        tracing::warn!(%error, "list of backend servers lost");
+                    }
+                }
+            }
+            tokio::time::sleep(READ_PAUSE).await;
+        }
+    }
+
+    /// Sets what says how much this instance has outstanding.
+    pub(crate) fn set_loads(&self, loads: Loads) {
+        // Only the one gateway of the instance sets it, once.
+        drop(self.loads.set(loads));
+    }
+}
