perf(member): count an instance as absent after 0.8 s

Cause: callers were sent to frozen entries for 1.2 s and the time for which they keep an address. Change: absent_after 1.2 s -> 0.8 s, two lost beats.

--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -50,7 +50,7 @@
             election_ms: 400,
             compact_bytes: 8 * 1024 * 1024,
             beat: Duration::from_millis(300),
-            absent_after: Duration::from_millis(1_200),
+            absent_after: Duration::from_millis(800),
         }
     }
 }
