--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -49,8 +49,8 @@
             bearable_losses: 1,
             election_ms: 400,
             compact_bytes: 8 * 1024 * 1024,
-            beat: Duration::from_millis(300),
-            absent_after: Duration::from_millis(800),
+            beat: Duration::from_millis(200),
+            absent_after: Duration::from_millis(600),
         }
     }
 }
