--- a/crates/protocol/src/routes.rs
+++ b/crates/protocol/src/routes.rs
@@ -3,7 +3,7 @@
 //! Operators send a whole [`Config`] under a version; [`Table::new`] checks it and prepares
 //! it for look-ups. A configuration that does not pass is refused with the field at fault.
 
-use state::collections::{Map, Set};
+use state::collections::Map;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -198,11 +198,6 @@
         self.services.get(name)
     }
 
-    /// Names of all services.
-    pub fn services(&self) -> Set<&str> {
-        self.services.keys().map(String::as_str).collect()
-    }
-
     /// The route of a request: that of its host with the longest prefix of its path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, port)| {
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -10,10 +10,12 @@
 mod entry;
 mod events;
 mod flow;
+mod headers;
 mod list;
 mod metrics;
 pub(crate) mod pool;
 mod relay;
+mod sending;
 mod server;
 mod turns;
 
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -242,8 +242,35 @@
     }
 }
 
+/// Answers a request for a journal's leader; gives any other request back.
+pub(crate) async fn serve_journal(
+    groups: Option<&Map<u32, Handle>>,
+    request: Request,
+) -> Result<Response, Request> {
+    let handle = |group: &u32| groups.and_then(|groups| groups.get(group));
+    let answer = match request {
+        Request::Submit { group, command } => match handle(&group) {
+            Some(handle) => response(handle.submit(command).await),
+            None => Response::NotLeader(None),
+        },
+        Request::Query { group, query } => match handle(&group) {
+            Some(handle) => response(handle.query(query).await),
+            None => Response::NotLeader(None),
+        },
+        Request::SubmitThenQuery { group, command, query } => match handle(&group) {
+            Some(handle) => match handle.submit_then_query(command, query).await {
+                Ok((reply, view)) => Response::Both(reply, view),
+                Err(outcome) => response(outcome),
+            },
+            None => Response::NotLeader(None),
+        },
+        other => return Err(other),
+    };
+    Ok(answer)
+}
+
 /// Turns a journal's outcome into a response.
-pub(crate) fn response(outcome: Outcome) -> Response {
+fn response(outcome: Outcome) -> Response {
     match outcome {
         Outcome::Data(data) => Response::Data(data),
         Outcome::NotLeader(hint) => Response::NotLeader(hint),
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -325,6 +325,10 @@
     }
 
     async fn respond(&self, from: String, request: Request) -> Response {
+        let request = match links::serve_journal(self.groups.get(), request).await {
+            Ok(response) => return response,
+            Err(request) => request,
+        };
         match request {
             Request::Consensus(envelopes) => {
                 if let Some((groups, id)) = self.groups.get().zip(self.id.get()) {
@@ -332,21 +336,6 @@
                 }
                 Response::Done
             }
-            Request::Submit { group, command } => match self.group(group) {
-                Some(handle) => links::response(handle.submit(command).await),
-                None => Response::NotLeader(None),
-            },
-            Request::Query { group, query } => match self.group(group) {
-                Some(handle) => links::response(handle.query(query).await),
-                None => Response::NotLeader(None),
-            },
-            Request::SubmitThenQuery { group, command, query } => match self.group(group) {
-                Some(handle) => match handle.submit_then_query(command, query).await {
-                    Ok((reply, view)) => Response::Both(reply, view),
-                    Err(outcome) => links::response(outcome),
-                },
-                None => Response::NotLeader(None),
-            },
             Request::Beat(beat) if self.settings.role == Role::Control => self.report(*beat),
             Request::Dump { .. } => Response::Text(self.dump().to_string()),
             other => {
@@ -356,10 +345,6 @@
         }
     }
 
-    fn group(&self, group: u32) -> Option<&Handle> {
-        self.groups.get()?.get(&group)
-    }
-
     /// Counters of the replica in the OpenMetrics format.
     pub fn metrics(&self) -> String {
         let metrics = crate::metrics::Metrics::new();
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -58,6 +58,10 @@
     }
 
     async fn respond(&self, from: String, request: Request) -> Response {
+        let request = match links::serve_journal(self.groups.get(), request).await {
+            Ok(response) => return response,
+            Err(request) => request,
+        };
         match request {
             Request::Consensus(envelopes) => {
                 if let Some((groups, id)) = self.groups.get().zip(self.id.get()) {
@@ -65,16 +69,12 @@
                 }
                 Response::Done
             }
-            Request::Submit { group, command } => match self.group(group) {
-                Some(handle) => links::response(handle.submit(command).await),
-                None => Response::NotLeader(None),
-            },
-            Request::Query { group, query } => match self.group(group) {
-                Some(handle) => links::response(handle.query(query).await),
-                None => Response::NotLeader(None),
-            },
-            // Only instances that find each other from a few addresses send these.
-            Request::SubmitThenQuery { .. } | Request::Beat(_) => Response::Unknown,
+            // Only instances that find each other from a few addresses send beats; requests to
+            // journals are served above.
+            Request::Beat(_)
+            | Request::Submit { .. }
+            | Request::Query { .. }
+            | Request::SubmitThenQuery { .. } => Response::Unknown,
             Request::Renew { holder, version, reports } => match self.controller.get() {
                 Some(controller) => controller.renew(holder, version, reports).await,
                 None => Response::NotLeader(None),
