fix(gateway): no refusal denies an attempt that may have run

Cause: read in the diff: a repeatable call whose first server broke off and whose second was full, or not to be found, was answered 503, which says that it has not run. Ruled out: calls that may not be repeated (they end with 502 at once). Change: once an attempt may have run, every later refusal of the request is 502.

--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -85,6 +85,7 @@
             list_age_ms: 0,
         },
         entry: entry.clone(),
+        may_have_run: false,
     };
     let outcome = match ask {
         Ok(ask) => way.pass(&ask, head, body).await,
@@ -117,6 +118,8 @@
 pub(super) struct Way {
     pub(super) entry: Arc<Entry>,
     pub(super) story: Story,
+    /// Whether an attempt without an answer may have run.
+    pub(super) may_have_run: bool,
 }
 
 /// What is needed to pass an answer on.
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -80,17 +80,16 @@
                 Tried::Answered(answered) => return Ok(*answered),
                 Tried::NotReached if detours < DETOURS => detours += 1,
                 Tried::NotReached => {
-                    let detail = "no backend server could be reached";
-                    return Err(Refusal::later(Kind::Overloaded, RETRY_LATER, detail).into());
+                    return Err(self.refuse("no backend server could be reached"));
                 }
                 Tried::Full => {
                     self.story.attempts += 1;
                     if self.story.attempts >= send.route.max_attempts {
-                        let detail = "the backend server has no room";
-                        return Err(Refusal::later(Kind::Overloaded, RETRY_LATER, detail).into());
+                        return Err(self.refuse("the backend server has no room"));
                     }
                 }
                 Tried::Lost(detail) => {
+                    self.may_have_run = true;
                     self.story.attempts += 1;
                     let may_repeat = send.route.repeat == Repeat::Always;
                     if !may_repeat || self.story.attempts >= send.route.max_attempts {
@@ -106,6 +105,14 @@
         }
     }
 
+    /// A refusal that says that the request has not run only if that is so.
+    fn refuse(&self, detail: &str) -> Fault {
+        if self.may_have_run {
+            return Refusal::new(Kind::Failed, detail).into();
+        }
+        Refusal::later(Kind::Overloaded, RETRY_LATER, detail).into()
+    }
+
     /// Waits a little for a backend server that may be chosen.
     async fn choose(&mut self, send: &Sending<'_>, tried: &[String]) -> Result<Listed, Fault> {
         let session = send.ask.program.as_deref().or(send.ask.session.as_deref());
@@ -123,7 +130,7 @@
             }
             if Instant::now() >= until {
                 let detail = format!("no backend server of {} may be used now", send.service);
-                return Err(Refusal::later(Kind::Overloaded, RETRY_LATER, detail).into());
+                return Err(self.refuse(&detail));
             }
             tokio::time::sleep(SERVER_PAUSE).await;
         }
