--- a/crates/coordination/src/consensus/follower.rs
+++ b/crates/coordination/src/consensus/follower.rs
@@ -1,12 +1,12 @@
 //! What a follower does with the leader's messages.
 
 use crate::consensus::log::{Entry, Payload};
-use crate::consensus::message::{Message, Meta};
-use crate::consensus::replica::{Id, Incoming, Replica};
+use crate::consensus::message::Message;
+use crate::consensus::replica::{Id, Replica};
 
 impl Replica {
     /// Accepts `from` as the leader of `term`; `false` if the term is old.
-    fn follow(&mut self, from: Id, term: u64) -> bool {
+    pub(crate) fn follow(&mut self, from: Id, term: u64) -> bool {
         if term < self.hard.term {
             return false;
         }
@@ -45,7 +45,7 @@
         self.reply_append(from, true, last_new, round);
     }
 
-    fn reply_append(&mut self, to: Id, is_ok: bool, index: u64, round: u64) {
+    pub(crate) fn reply_append(&mut self, to: Id, is_ok: bool, index: u64, round: u64) {
         let term = self.hard.term;
         self.ready.late.push((to, Message::AppendReply { term, is_ok, index, round }));
     }
@@ -74,65 +74,4 @@
         self.ready.truncate = Some(first);
         self.refresh_members();
     }
-
-    pub(crate) fn on_chunk(
-        &mut self,
-        from: Id,
-        term: u64,
-        meta: Meta,
-        (offset, total): (u64, u64),
-        digest: [u8; 32],
-        data: &[u8],
-    ) {
-        if !self.follow(from, term) {
-            return;
-        }
-        if self.log.term(meta.index) == Some(meta.term) {
-            // Entries after the snapshot were acknowledged and must stay.
-            self.commit = self.commit.max(meta.index);
-        }
-        if meta.index <= self.commit {
-            self.incoming = None;
-            self.reply_append(from, true, self.commit, 0);
-            return;
-        }
-        let is_same = self.incoming.as_ref().is_some_and(|incoming| incoming.digest == digest);
-        if !is_same {
-            self.incoming = Some(Incoming { meta: meta.clone(), digest, data: Vec::new() });
-        }
-        let Some(incoming) = &mut self.incoming else {
-            return;
-        };
-        if offset == incoming.data.len() as u64 {
-            incoming.data.extend_from_slice(data);
-        }
-        let received = incoming.data.len() as u64;
-        if received < total {
-            let reply = Message::ChunkReply { term, index: meta.index, offset: received };
-            self.ready.late.push((from, reply));
-            return;
-        }
-        self.install(from);
-    }
-
-    fn install(&mut self, from: Id) {
-        let Some(incoming) = self.incoming.take() else {
-            return;
-        };
-        if *blake3::hash(&incoming.data).as_bytes() != incoming.digest {
-            return;
-        }
-        let meta = incoming.meta;
-        self.log.reset(meta.index, meta.term);
-        self.base_members = meta.members.clone();
-        self.refresh_members();
-        self.commit = meta.index;
-        self.delivered = meta.index;
-        self.synced = meta.index;
-        self.ready.entries.clear();
-        self.ready.committed.clear();
-        self.ready.truncate = None;
-        self.reply_append(from, true, meta.index, 0);
-        self.ready.install = Some((meta, incoming.data));
-    }
 }
--- a/crates/coordination/src/consensus/leader.rs
+++ b/crates/coordination/src/consensus/leader.rs
@@ -2,8 +2,9 @@
 
 use crate::Millis;
 use crate::consensus::log::{Entry, Members, Payload};
-use crate::consensus::message::{Message, Meta};
+use crate::consensus::message::Message;
 use crate::consensus::replica::{Id, NotLeader, Replica, Role};
+use crate::consensus::snapshot::Outgoing;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Times the shortest election time for which a replica may be silent before it gets
@@ -21,29 +22,23 @@
     owes_round: bool,
     heartbeat_due: Millis,
     since: Millis,
+    /// Snapshots offered in this term.
+    pub(crate) snapshots: u64,
 }
 
 /// What the leader knows of another replica.
 #[derive(Debug)]
 pub(crate) struct Progress {
     matched: u64,
-    next: u64,
+    pub(crate) next: u64,
     in_flight: usize,
-    seen: Option<Millis>,
-    sent: Millis,
+    pub(crate) seen: Option<Millis>,
+    /// When entries or parts of a snapshot were last sent.
+    pub(crate) sent: Millis,
     round: u64,
-    snapshot: Option<Outgoing>,
+    pub(crate) snapshot: Option<Outgoing>,
     /// Whether a snapshot was asked for that has not been offered.
-    awaits_snapshot: bool,
-}
-
-/// A snapshot being sent.
-#[derive(Debug)]
-struct Outgoing {
-    meta: Meta,
-    digest: [u8; 32],
-    data: Vec<u8>,
-    acknowledged: u64,
+    pub(crate) awaits_snapshot: bool,
 }
 
 /// A read that waits for a quorum.
@@ -55,6 +50,11 @@
 }
 
 impl Leadership {
+    /// Current confirmation round.
+    pub(crate) fn round(&self) -> u64 {
+        self.round
+    }
+
     /// When the next heartbeat is due.
     pub(crate) fn due(&self) -> Millis {
         self.heartbeat_due
@@ -93,6 +93,7 @@
             owes_round: false,
             heartbeat_due: self.now,
             since: self.now,
+            snapshots: 0,
         }));
         self.leader = Some(self.id);
         // An entry of the own term lets earlier terms' entries commit.
@@ -100,13 +101,20 @@
         debug_assert!(appended.is_ok());
     }
 
-    fn leadership(&mut self) -> Option<&mut Leadership> {
+    pub(crate) fn leadership(&mut self) -> Option<&mut Leadership> {
         match &mut self.role {
             Role::Leader(leadership) => Some(leadership),
             _ => None,
         }
     }
 
+    pub(crate) fn leadership_view(&self) -> Option<&Leadership> {
+        match &self.role {
+            Role::Leader(leadership) => Some(leadership),
+            _ => None,
+        }
+    }
+
     pub(crate) fn append_own(
         &mut self,
         payload: Payload,
@@ -196,25 +204,13 @@
         if peer.seen.unwrap_or(since) + retry_ms * SILENT_RETRIES <= now {
             // Entries and exports for a replica that is gone would pile up on the way.
             if is_heartbeat {
-                self.send_empty(to, base, round);
+                self.send_empty(to, round);
             }
             return;
         }
         let is_stalled = peer.sent + retry_ms <= now;
         if peer.next <= base || peer.snapshot.is_some() {
-            let is_missing = peer.snapshot.is_none();
-            if is_missing {
-                let is_heard = peer.seen.is_some();
-                if is_heard && !std::mem::replace(&mut peer.awaits_snapshot, true) {
-                    self.ready.wants_snapshot.push(to);
-                }
-            } else if is_stalled {
-                peer.sent = now;
-                self.send_chunk(to);
-            }
-            if is_heartbeat {
-                self.send_empty(to, base, round);
-            }
+            self.advance_snapshot(to, is_heartbeat);
             return;
         }
         if is_stalled && peer.in_flight > 0 {
@@ -262,7 +258,8 @@
     }
 
     /// A heartbeat that any replica can answer, whatever its log holds.
-    fn send_empty(&mut self, to: Id, base: u64, round: u64) {
+    pub(crate) fn send_empty(&mut self, to: Id, round: u64) {
+        let base = self.log.base_index();
         let prev_term = self.log.term(base).unwrap_or(0);
         let message = Message::Append {
             term: self.hard.term,
@@ -395,57 +392,6 @@
         }
     }
 
-    /// Sends the machine's exported state, which ends at `meta`, to a replica that lags.
-    pub fn offer_snapshot(&mut self, to: Id, meta: Meta, data: Vec<u8>) {
-        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&to)) else {
-            return;
-        };
-        peer.awaits_snapshot = false;
-        let digest = *blake3::hash(&data).as_bytes();
-        peer.next = meta.index + 1;
-        peer.snapshot = Some(Outgoing { meta, digest, data, acknowledged: 0 });
-        self.send_chunk(to);
-    }
-
-    fn send_chunk(&mut self, to: Id) {
-        let (term, size, now) = (self.hard.term, self.settings.chunk_bytes, self.now);
-        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&to)) else {
-            return;
-        };
-        peer.sent = now;
-        let Some(outgoing) = &peer.snapshot else {
-            return;
-        };
-        let start = usize::try_from(outgoing.acknowledged).unwrap_or(usize::MAX);
-        let start = start.min(outgoing.data.len());
-        let end = (start + size).min(outgoing.data.len());
-        let message = Message::Chunk {
-            term,
-            meta: outgoing.meta.clone(),
-            offset: start as u64,
-            total: outgoing.data.len() as u64,
-            digest: outgoing.digest,
-            data: outgoing.data[start..end].to_vec(),
-        };
-        self.ready.early.push((to, message));
-    }
-
-    pub(crate) fn on_chunk_reply(&mut self, from: Id, term: u64, index: u64, offset: u64) {
-        if term != self.hard.term {
-            return;
-        }
-        let now = self.now;
-        let Some(peer) = self.leadership().and_then(|l| l.peers.get_mut(&from)) else {
-            return;
-        };
-        peer.seen = Some(now);
-        let Some(outgoing) = peer.snapshot.as_mut().filter(|s| s.meta.index == index) else {
-            return;
-        };
-        outgoing.acknowledged = offset;
-        self.send_chunk(from);
-    }
-
     /// Hands the leadership to the voter that has the most.
     pub fn transfer(&mut self, now: Millis) {
         self.now = self.now.max(now);
--- a/crates/coordination/src/consensus/message.rs
+++ b/crates/coordination/src/consensus/message.rs
@@ -71,11 +71,13 @@
         term: u64,
         /// What the snapshot includes.
         meta: Meta,
+        /// Tells the snapshot from others of the term.
+        number: u64,
         /// Offset of this part, in bytes.
         offset: u64,
         /// Size of the whole, in bytes.
         total: u64,
-        /// BLAKE3 digest of the whole.
+        /// BLAKE3 digest of this part.
         digest: [u8; 32],
         /// This part.
         #[serde(with = "serde_bytes")]
@@ -85,8 +87,8 @@
     ChunkReply {
         /// Term.
         term: u64,
-        /// Last index of the snapshot.
-        index: u64,
+        /// Number of the snapshot.
+        number: u64,
         /// Bytes received so far.
         offset: u64,
     },
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -14,8 +14,10 @@
 mod message;
 mod repair;
 mod replica;
+mod snapshot;
 
 pub use log::{Entry, Members, Payload};
 pub use message::{Message, Meta};
 pub use repair::{Birth, Peer, Plan, founder_id};
 pub use replica::{Hard, Id, NotLeader, Ready, Replica, Restored, Role, Settings};
+pub use snapshot::{Part, Wanted};
--- a/crates/coordination/src/consensus/replica.rs
+++ b/crates/coordination/src/consensus/replica.rs
@@ -4,6 +4,7 @@
 use crate::consensus::leader::Leadership;
 use crate::consensus::log::{Entry, Log, Members, Payload};
 use crate::consensus::message::{Message, Meta};
+use crate::consensus::snapshot::{Chunk, Incoming, Part, Wanted};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,8 @@
     pub batch_bytes: usize,
     /// Size of one snapshot part, in bytes.
     pub chunk_bytes: usize,
+    /// Snapshot parts under way to one replica.
+    pub chunk_window: usize,
     /// Messages under way to one replica.
     pub window: usize,
 }
@@ -38,6 +41,7 @@
             heartbeat_ms: 60,
             batch_bytes: 128 * 1024,
             chunk_bytes: 256 * 1024,
+            chunk_window: 4,
             window: 8,
         }
     }
@@ -86,8 +90,10 @@
 pub struct Ready {
     /// Messages that depend on nothing below.
     pub early: Vec<(Id, Message)>,
-    /// Snapshot to install, replacing journal and machine.
-    pub install: Option<(Meta, Vec<u8>)>,
+    /// Parts of a snapshot to take.
+    pub parts: Vec<Part>,
+    /// Snapshot whose last part has come; it replaces journal and machine.
+    pub install: Option<Meta>,
     /// Term and vote to persist.
     pub hard: Option<Hard>,
     /// First index to drop before appending.
@@ -104,12 +110,15 @@
     pub dropped: Vec<u64>,
     /// Replicas that need a snapshot; the caller calls [`Replica::offer_snapshot`].
     pub wants_snapshot: Vec<Id>,
+    /// Parts of snapshots to read; the caller calls [`Replica::offer_part`].
+    pub wants_parts: Vec<Wanted>,
 }
 
 impl Ready {
     /// Whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
         self.early.is_empty()
+            && self.parts.is_empty()
             && self.install.is_none()
             && self.hard.is_none()
             && self.truncate.is_none()
@@ -119,6 +128,7 @@
             && self.reads.is_empty()
             && self.dropped.is_empty()
             && self.wants_snapshot.is_empty()
+            && self.wants_parts.is_empty()
     }
 
     /// Whether the journal must be written.
@@ -149,14 +159,6 @@
     pub(crate) ready: Ready,
 }
 
-/// A snapshot being received.
-#[derive(Debug)]
-pub(crate) struct Incoming {
-    pub(crate) meta: Meta,
-    pub(crate) digest: [u8; 32],
-    pub(crate) data: Vec<u8>,
-}
-
 impl Replica {
     /// Starts a replica from what its disk held.
     ///
@@ -282,11 +284,12 @@
             Message::AppendReply { term, is_ok, index, round } => {
                 self.on_append_reply(from, term, is_ok, index, round);
             }
-            Message::Chunk { term, meta, offset, total, digest, data } => {
-                self.on_chunk(from, term, meta, (offset, total), digest, &data);
+            Message::Chunk { term, meta, number, offset, total, digest, data } => {
+                let chunk = Chunk { term, meta, number, offset, total, digest, data };
+                self.on_chunk(from, chunk);
             }
-            Message::ChunkReply { term, index, offset } => {
-                self.on_chunk_reply(from, term, index, offset);
+            Message::ChunkReply { term, number, offset } => {
+                self.on_chunk_reply(from, term, number, offset);
             }
             Message::Transfer { term } => self.on_transfer(term),
         }
--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -233,6 +233,7 @@
     let chunk = Message::Chunk {
         term: 1,
         meta: Meta { index: 5, term: 1, members: members(&[1, 2, 3]) },
+        number: 1,
         offset: 0,
         total: data.len() as u64,
         digest: *blake3::hash(&data).as_bytes(),
@@ -249,6 +250,7 @@
     let chunk = Message::Chunk {
         term: 1,
         meta: Meta { index: 5, term: 1, members: members(&[1, 2, 3]) },
+        number: 1,
         offset: 0,
         total: 5,
         digest: [0; 32],
@@ -316,3 +318,102 @@
     }
     assert_eq!(three[0].matched(3), Some(three[0].last_index()));
 }
+
+/// A leader with a compacted log, and an empty third replica that has said so.
+fn leader_with_a_laggard() -> [Replica; 3] {
+    let mut three = [1, 2, 3].map(|id| replica(id, &[1, 2, 3]));
+    elect(&mut three[..2], 0);
+    three[0].propose(2_000, 1, vec![1]).unwrap();
+    flow(&mut three[..2], 2_000);
+    let commit = three[0].commit();
+    three[0].compact(commit);
+    let term = three[0].term();
+    three[0].receive(2_000, 3, Message::AppendReply { term, is_ok: false, index: 0, round: 0 });
+    three
+}
+
+/// Hands over the wanted parts of a snapshot whose byte at an offset is that offset; returns
+/// their number and the messages to the third replica.
+fn send_parts(leader: &mut Replica, total: u64) -> (usize, Vec<Message>) {
+    let mut ready = settle(leader);
+    for peer in std::mem::take(&mut ready.wants_snapshot) {
+        let meta = leader.meta_at(leader.commit());
+        leader.offer_snapshot(peer, meta, total);
+    }
+    ready.wants_parts.extend(settle(leader).wants_parts);
+    let wanted = std::mem::take(&mut ready.wants_parts);
+    for part in &wanted {
+        let end = total.min(part.offset + part.len as u64);
+        leader.offer_part(part, (part.offset..end).map(|at| at as u8).collect());
+    }
+    let sent = ready.early.into_iter().chain(settle(leader).early);
+    (wanted.len(), sent.filter(|(to, _)| *to == 3).map(|(_, message)| message).collect())
+}
+
+#[test]
+fn a_snapshot_of_any_size_is_read_a_few_parts_at_a_time() {
+    let mut three = leader_with_a_laggard();
+    let settings = Settings::default();
+    let total = settings.chunk_bytes as u64 * 40 + 5;
+    let mut received = 0;
+    for now in 2_001..2_100 {
+        let (wanted, messages) = send_parts(&mut three[0], total);
+        assert!(wanted <= settings.chunk_window, "{wanted} parts at once");
+        for message in messages {
+            three[2].receive(now, 1, message);
+            let ready = settle(&mut three[2]);
+            for part in ready.parts {
+                assert_eq!(part.offset, received);
+                assert!(
+                    part.data
+                        .iter()
+                        .enumerate()
+                        .all(|(at, byte)| { *byte == (received + at as u64) as u8 })
+                );
+                received += part.data.len() as u64;
+            }
+            for (_, answer) in ready.early.into_iter().chain(ready.late) {
+                three[0].receive(now, 3, answer);
+            }
+            if let Some(meta) = ready.install {
+                assert_eq!((received, meta.index), (total, three[0].commit()));
+                return;
+            }
+        }
+    }
+    panic!("{received} of {total} bytes came");
+}
+
+#[test]
+fn a_snapshot_goes_on_after_lost_parts_and_anew_after_a_restart() {
+    let mut three = leader_with_a_laggard();
+    let total = Settings::default().chunk_bytes as u64 * 12;
+    let (mut offsets, mut is_done) = (Vec::new(), false);
+    for step in 0..40 {
+        let now = 2_001 + step * 100;
+        three[0].tick(now);
+        let term = three[0].term();
+        // The second replica keeps the leader in office.
+        let alive = Message::AppendReply { term, is_ok: true, index: 1, round: 0 };
+        three[0].receive(now, 2, alive);
+        let (_, messages) = send_parts(&mut three[0], total);
+        if step == 1 {
+            continue;
+        }
+        if step == 8 {
+            three[2] = replica(3, &[1, 2, 3]);
+        }
+        for message in messages {
+            three[2].receive(now, 1, message);
+            let ready = settle(&mut three[2]);
+            offsets.extend(ready.parts.iter().map(|part| part.offset));
+            is_done |= ready.install.is_some();
+            for (_, answer) in ready.early.into_iter().chain(ready.late) {
+                three[0].receive(now, 3, answer);
+            }
+        }
+    }
+    assert!(is_done, "parts {offsets:?}");
+    let starts = offsets.iter().filter(|offset| **offset == 0).count();
+    assert!(starts <= 2, "parts {offsets:?}");
+}
--- a/crates/coordination/tests/util/checks.rs
+++ b/crates/coordination/tests/util/checks.rs
@@ -1,6 +1,6 @@
 //! What must hold at the end, counted from ledgers and callers' records.
 
-use super::host::{CONTROL, SHARD};
+use super::host::{CONTROL, SHARD, whole};
 use super::world::World;
 use state::collections::Map;
 use state::error::Ran;
@@ -153,7 +153,7 @@
             .into_iter()
             .map(|at| {
                 let group = &world.hosts[at].groups[group];
-                (at, group.applied, group.machine.export().unwrap())
+                (at, group.applied, whole(group.machine.as_ref()))
             })
             .collect();
         for pair in states.windows(2) {
--- a/crates/coordination/tests/util/host.rs
+++ b/crates/coordination/tests/util/host.rs
@@ -11,7 +11,7 @@
 use state::control::Control;
 use state::history::Memory;
 use state::journal::{Record, Recovered};
-use state::machine::{self, Machine};
+use state::machine::{self, Export, Import, Machine};
 use state::program::Shard;
 
 pub(crate) const CONTROL: usize = 0;
@@ -50,6 +50,8 @@
     pub(crate) fails_sync: bool,
     pub(crate) is_stopped: bool,
     pub(crate) syncs: u64,
+    exports: Map<Id, Box<dyn Export>>,
+    import: Option<Box<dyn Import>>,
     plans: Vec<Plan>,
     pending: Map<u64, (Asker, Ask)>,
     reads: Vec<(u64, u64)>,
@@ -70,6 +72,12 @@
     }
 }
 
+/// A machine's whole state.
+pub(crate) fn whole(machine: &dyn Machine) -> Vec<u8> {
+    let export = machine.export().unwrap();
+    export.read(0, usize::try_from(export.size()).unwrap()).unwrap()
+}
+
 impl Group {
     /// Starts a replica from its disk.
     pub(crate) fn start(
@@ -91,7 +99,13 @@
             disk.entries.iter().map(|(_, body)| machine::decode(body).unwrap()).collect();
         let applied = snapshot.index;
         let restored = Restored { hard, snapshot, entries };
-        let settings = Consensus { election_ms: 200, heartbeat_ms: 40, ..Consensus::default() };
+        // Small parts, so that faults come between them.
+        let settings = Consensus {
+            election_ms: 200,
+            heartbeat_ms: 40,
+            chunk_bytes: 1024,
+            ..Consensus::default()
+        };
         let replica = Replica::new(id, settings, seed, now, restored, founders);
         Self {
             id,
@@ -102,6 +116,8 @@
             fails_sync: false,
             is_stopped: false,
             syncs: 0,
+            exports: Map::default(),
+            import: None,
             plans: Vec::new(),
             pending: Map::default(),
             reads: Vec::new(),
@@ -138,7 +154,14 @@
                 break;
             }
             out.messages.extend(ready.early);
-            if let Some((meta, state)) = ready.install {
+            for part in ready.parts {
+                if part.offset == 0 {
+                    self.import = Some(self.machine.importer().unwrap());
+                }
+                self.import.as_mut().unwrap().take(&part.data).unwrap();
+            }
+            if let Some(meta) = ready.install {
+                let state = self.import.take().unwrap().end().unwrap();
                 self.machine.import(&state).unwrap();
                 self.applied = meta.index;
                 self.snapshot(&meta, state);
@@ -161,7 +184,14 @@
             }
             for peer in ready.wants_snapshot {
                 let meta = self.replica.meta_at(self.applied);
-                self.replica.offer_snapshot(peer, meta, self.machine.export().unwrap());
+                let export = self.machine.export().unwrap();
+                self.replica.offer_snapshot(peer, meta, export.size());
+                self.exports.insert(peer, export);
+            }
+            for wanted in ready.wants_parts {
+                let export = &self.exports[&wanted.to];
+                let data = export.read(wanted.offset, wanted.len).unwrap();
+                self.replica.offer_part(&wanted, data);
             }
             self.compact();
         }
@@ -231,7 +261,7 @@
             return;
         }
         let meta = self.replica.compact(self.applied);
-        let state = self.machine.export().unwrap();
+        let state = whole(self.machine.as_ref());
         self.snapshot(&meta, state);
     }
 }
--- a/crates/state/src/control/machine.rs
+++ b/crates/state/src/control/machine.rs
@@ -6,7 +6,7 @@
 use crate::control::ticket::{Recorded, Target, Ticket};
 use crate::error::{Kind, Storage};
 use crate::id::{Digest, Holder};
-use crate::machine::{self, Machine};
+use crate::machine::{self, Export, Machine};
 use crate::program::Refusal;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -344,7 +344,7 @@
     }
 
     fn save(&mut self) -> Result<Vec<u8>, Storage> {
-        self.export()
+        machine::encode(self)
     }
 
     fn prune(&mut self) -> Result<(), Storage> {
@@ -355,12 +355,12 @@
         self.import(saved)
     }
 
-    fn export(&self) -> Result<Vec<u8>, Storage> {
-        machine::encode(self)
+    fn export(&self) -> Result<Box<dyn Export>, Storage> {
+        Ok(Box::new(machine::encode(self)?))
     }
 
-    fn import(&mut self, exported: &[u8]) -> Result<(), Storage> {
-        *self = machine::decode(exported)?;
+    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
+        *self = machine::decode(received)?;
         Ok(())
     }
 
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -11,11 +11,15 @@
 use std::fs::{File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Size at which a segment file is closed, in bytes.
 const SEGMENT_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Segments left free between a store and the one beside it, for what the store appends
+/// meanwhile: 64 GB.
+const BESIDE_GAP: u64 = 1_000;
+
 /// Bytes that [`Store::append_all`] gathers before it writes; bounds its memory.
 const WRITE_BYTES: usize = 1024 * 1024;
 
@@ -79,6 +83,21 @@
     /// A reader of what is there now, for another thread.
     fn reader(&self) -> Box<dyn Reader>;
 
+    /// An empty store beside this one, for a state that is being received; its items count
+    /// once this store adopted them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn beside(&self) -> Result<Box<dyn Store>, Storage>;
+
+    /// Goes on after what a store beside this one wrote up to `position`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the disk.
+    fn adopt(&mut self, position: Position) -> Result<(), Storage>;
+
     /// Makes everything appended durable and returns where it ends.
     ///
     /// # Errors
@@ -104,21 +123,29 @@
 /// History in memory, for tests and single-use tools.
 #[derive(Debug, Clone, Default)]
 pub struct Memory {
-    bytes: Vec<u8>,
+    bytes: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Memory {
+    fn bytes(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.bytes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Reader for Memory {
     fn span(&self, _segment: u64, offset: u64, len: usize) -> Result<Vec<u8>, Storage> {
         let start = usize::try_from(offset).unwrap_or(usize::MAX);
-        let bytes = self.bytes.get(start..start.saturating_add(len));
-        bytes.map(<[u8]>::to_vec).ok_or(Storage::Stopped)
+        let bytes = self.bytes();
+        let span = bytes.get(start..start.saturating_add(len));
+        span.map(<[u8]>::to_vec).ok_or(Storage::Stopped)
     }
 }
 
 impl Store for Memory {
     fn append(&mut self, item: &[u8]) -> Result<Locator, Storage> {
-        let offset = self.bytes.len() as u64;
-        self.bytes.extend_from_slice(item);
+        let mut bytes = self.bytes();
+        let offset = bytes.len() as u64;
+        bytes.extend_from_slice(item);
         Ok(Locator { segment: 0, offset, len: item.len() as u64, crc: crc32fast::hash(item) })
     }
 
@@ -131,12 +158,20 @@
         Box::new(self.clone())
     }
 
+    fn beside(&self) -> Result<Box<dyn Store>, Storage> {
+        Ok(Box::new(self.clone()))
+    }
+
+    fn adopt(&mut self, _position: Position) -> Result<(), Storage> {
+        Ok(())
+    }
+
     fn sync(&mut self) -> Result<Position, Storage> {
-        Ok(Position { segment: 0, offset: self.bytes.len() as u64 })
+        Ok(Position { segment: 0, offset: self.bytes().len() as u64 })
     }
 
     fn rewind(&mut self, position: Position) -> Result<(), Storage> {
-        self.bytes.truncate(usize::try_from(position.offset).unwrap_or(usize::MAX));
+        self.bytes().truncate(usize::try_from(position.offset).unwrap_or(usize::MAX));
         Ok(())
     }
 
@@ -163,13 +198,9 @@
         std::fs::create_dir_all(folder)?;
         let mut files =
             Self { folder: folder.to_owned(), segments: Map::default(), end: Position::default() };
-        for entry in std::fs::read_dir(folder)? {
-            let name = entry?.file_name();
-            let number = name.to_str().and_then(|name| name.strip_suffix(".history"));
-            if let Some(number) = number.and_then(|number| number.parse().ok()) {
-                files.open_segment(number)?;
-                files.end.segment = files.end.segment.max(number);
-            }
+        for number in files.numbers()? {
+            files.open_segment(number)?;
+            files.end.segment = files.end.segment.max(number);
         }
         files.open_segment(files.end.segment)?;
         files.end.offset = files.last()?.metadata()?.len();
@@ -180,6 +211,17 @@
         self.folder.join(format!("{segment:08}.history"))
     }
 
+    /// Numbers of the segment files in the folder.
+    fn numbers(&self) -> Result<Vec<u64>, Storage> {
+        let mut numbers = Vec::new();
+        for entry in std::fs::read_dir(&self.folder)? {
+            let name = entry?.file_name();
+            let number = name.to_str().and_then(|name| name.strip_suffix(".history"));
+            numbers.extend(number.and_then(|number| number.parse::<u64>().ok()));
+        }
+        Ok(numbers)
+    }
+
     fn open_segment(&mut self, segment: u64) -> Result<(), Storage> {
         let path = self.path(segment);
         let file =
@@ -270,6 +312,27 @@
         Box::new(Segments(self.segments.clone()))
     }
 
+    fn beside(&self) -> Result<Box<dyn Store>, Storage> {
+        // Later segments are of an import that was given up.
+        for number in self.numbers()?.into_iter().filter(|number| *number > self.end.segment) {
+            std::fs::remove_file(self.path(number))?;
+        }
+        let end = Position { segment: self.end.segment + BESIDE_GAP, offset: 0 };
+        let mut files = Self { folder: self.folder.clone(), segments: Map::default(), end };
+        files.open_segment(end.segment)?;
+        Ok(Box::new(files))
+    }
+
+    fn adopt(&mut self, position: Position) -> Result<(), Storage> {
+        for number in self.numbers()? {
+            if number > self.end.segment && number <= position.segment {
+                self.open_segment(number)?;
+            }
+        }
+        self.end = position;
+        Ok(())
+    }
+
     fn sync(&mut self) -> Result<Position, Storage> {
         self.last()?.sync_data()?;
         File::open(&self.folder)?.sync_all()?;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -2,8 +2,59 @@
 
 use crate::error::Storage;
 
-/// The rest of an export.
-pub type Exporter = Box<dyn FnOnce() -> Result<Vec<u8>, Storage> + Send>;
+/// A state on its way to another replica: that of the moment at which it was made, however
+/// the machine goes on.
+pub trait Export: Send {
+    /// Size, in bytes.
+    fn size(&self) -> u64;
+
+    /// The `len` bytes at `offset`, fewer at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the storage error of a part that cannot be read.
+    fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>, Storage>;
+}
+
+impl Export for Vec<u8> {
+    fn size(&self) -> u64 {
+        self.len() as u64
+    }
+
+    fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>, Storage> {
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(self.len());
+        let end = start.saturating_add(len).min(self.len());
+        Ok(self[start..end].to_vec())
+    }
+}
+
+/// Takes the parts of another replica's state, beside the machine's own.
+pub trait Import: Send {
+    /// Takes the next part.
+    ///
+    /// # Errors
+    ///
+    /// Returns the storage error of the disk, or of a part that is not whole.
+    fn take(&mut self, part: &[u8]) -> Result<(), Storage>;
+
+    /// Ends after the last part; the result is for [`Machine::import`].
+    ///
+    /// # Errors
+    ///
+    /// As [`Import::take`].
+    fn end(self: Box<Self>) -> Result<Vec<u8>, Storage>;
+}
+
+impl Import for Vec<u8> {
+    fn take(&mut self, part: &[u8]) -> Result<(), Storage> {
+        self.extend_from_slice(part);
+        Ok(())
+    }
+
+    fn end(self: Box<Self>) -> Result<Vec<u8>, Storage> {
+        Ok(*self)
+    }
+}
 
 /// Deterministic state driven by committed commands.
 ///
@@ -57,25 +108,23 @@
     /// # Errors
     ///
     /// Returns the storage error that stops the replica.
-    fn export(&self) -> Result<Vec<u8>, Storage>;
+    fn export(&self) -> Result<Box<dyn Export>, Storage>;
 
-    /// The same as [`Machine::export`], to be finished on another thread while the machine
-    /// goes on; the state is that of now.
+    /// Starts to receive another replica's [`Machine::export`]; the own state stays.
     ///
     /// # Errors
     ///
     /// Returns the storage error that stops the replica.
-    fn exporter(&self) -> Result<Exporter, Storage> {
-        let exported = self.export()?;
-        Ok(Box::new(move || Ok(exported)))
+    fn importer(&self) -> Result<Box<dyn Import>, Storage> {
+        Ok(Box::new(Vec::new()))
     }
 
-    /// Replaces the whole state, bulk data included.
+    /// Replaces the whole state by what an importer of this machine received.
     ///
     /// # Errors
     ///
     /// Returns the storage error that stops the replica.
-    fn import(&mut self, exported: &[u8]) -> Result<(), Storage>;
+    fn import(&mut self, received: &[u8]) -> Result<(), Storage>;
 
     /// State for an operator, without customer content.
     fn dump(&self) -> String;
--- a/crates/state/src/program/shard.rs
+++ b/crates/state/src/program/shard.rs
@@ -4,7 +4,7 @@
 use crate::error::{Kind, Storage};
 use crate::history::{Locator, Position, Store};
 use crate::id;
-use crate::machine::{self, Machine};
+use crate::machine::{self, Export, Machine};
 use crate::program::command::{Command, End, Open, Refusal, Reply};
 use crate::program::record::{Current, Entry, Program, Verdict};
 use serde::{Deserialize, Serialize};
@@ -314,7 +314,7 @@
         Ok(())
     }
 
-    fn export(&self) -> Result<Vec<u8>, Storage> {
+    fn export(&self) -> Result<Box<dyn Export>, Storage> {
         let mut items = Vec::new();
         for locator in self.programs.values().flat_map(locators) {
             items.push(self.history.read(locator)?);
@@ -324,12 +324,12 @@
         for locator in programs.values_mut().flat_map(locators_mut) {
             *locator = Locator::default();
         }
-        machine::encode(&Exported { programs, items })
+        Ok(Box::new(machine::encode(&Exported { programs, items })?))
     }
 
-    fn import(&mut self, exported: &[u8]) -> Result<(), Storage> {
+    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
         // Older items stay until the new state is durable.
-        let exported: Exported = machine::decode(exported)?;
+        let exported: Exported = machine::decode(received)?;
         self.programs = exported.programs;
         let mut items = exported.items.iter();
         for program in self.programs.values_mut() {
--- a/crates/state/src/registry/machine.rs
+++ b/crates/state/src/registry/machine.rs
@@ -1,7 +1,7 @@
 //! The state machine of the registry.
 
 use crate::error::Storage;
-use crate::machine::{self, Machine};
+use crate::machine::{self, Export, Machine};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
@@ -138,12 +138,12 @@
         Ok(())
     }
 
-    fn export(&self) -> Result<Vec<u8>, Storage> {
-        machine::encode(self)
+    fn export(&self) -> Result<Box<dyn Export>, Storage> {
+        Ok(Box::new(machine::encode(self)?))
     }
 
-    fn import(&mut self, exported: &[u8]) -> Result<(), Storage> {
-        self.load(exported)
+    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
+        self.load(received)
     }
 
     fn dump(&self) -> String {
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -3,8 +3,9 @@
 use crate::collections::{Map, Set};
 use crate::error::Storage;
 use crate::history::{Locator, Position, Store};
-use crate::machine::{self, Exporter, Machine};
+use crate::machine::{self, Export, Import, Machine};
 use crate::turn::command::{Begin, Command, End, Query, Record, Reply};
+use crate::turn::transfer::{Incoming, Outgoing};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -20,18 +21,12 @@
 /// program that was stopped may come back as long as its turns are kept, which is a minute.
 const BUDGET_KEPT_MS: u64 = 180_000;
 
-/// Bytes of contents that an export reads at once.
-const SPAN_BYTES: usize = 1024 * 1024;
-
-/// Bytes of the length before the index of an export.
-const INDEX_LEN_BYTES: usize = 8;
-
 /// Longest chain that is read, in turns; a cycle cannot be made, so this only bounds work.
 const CHAIN_LIMIT: usize = 4_096;
 
 /// Budget of one program.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Program {
+pub(crate) struct Program {
     spent: u64,
     /// Reserved tokens of turns under way.
     open: Map<String, u64>,
@@ -48,19 +43,19 @@
 
 /// A turn that later ones may continue from.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Kept {
+pub(crate) struct Kept {
     previous: Option<String>,
-    item: Locator,
+    pub(crate) item: Locator,
     expires_ms: u64,
 }
 
 /// State for this disk; contents stay in their segment files.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct Saved {
+pub(crate) struct Saved {
     now_ms: u64,
     programs: Map<String, Program>,
-    kept: Map<String, Kept>,
-    history: Position,
+    pub(crate) kept: Map<String, Kept>,
+    pub(crate) history: Position,
 }
 
 /// All turns of one replicated journal.
@@ -248,51 +243,18 @@
         Ok(())
     }
 
-    fn export(&self) -> Result<Vec<u8>, Storage> {
-        self.exporter()?()
+    fn export(&self) -> Result<Box<dyn Export>, Storage> {
+        let saved = self.index(Position::default());
+        Ok(Box::new(Outgoing::new(saved, self.history.reader())?))
     }
 
-    /// Length and encoding of the index, then all contents in the order of their locators,
-    /// which count from the start of the contents.
-    fn exporter(&self) -> Result<Exporter, Storage> {
-        let mut saved = self.index(Position::default());
-        let mut kept: Vec<&mut Kept> = saved.kept.values_mut().collect();
-        kept.sort_unstable_by_key(|kept| (kept.item.segment, kept.item.offset));
-        let items: Vec<Locator> = kept.iter().map(|kept| kept.item).collect();
-        let mut offset = 0;
-        for kept in kept {
-            kept.item = Locator { segment: 0, offset, ..kept.item };
-            offset += kept.item.len;
-        }
-        let reader = self.history.reader();
-        Ok(Box::new(move || {
-            let index = machine::encode(&saved)?;
-            let contents = usize::try_from(offset).map_err(|_| Storage::Stopped)?;
-            let mut exported = Vec::with_capacity(INDEX_LEN_BYTES + index.len() + contents);
-            exported.extend_from_slice(&(index.len() as u64).to_le_bytes());
-            exported.extend_from_slice(&index);
-            for span in spans(&items) {
-                let (segment, offset, len) = span;
-                exported.extend_from_slice(&reader.span(segment, offset, len)?);
-            }
-            Ok(exported)
-        }))
+    fn importer(&self) -> Result<Box<dyn Import>, Storage> {
+        Ok(Box::new(Incoming::new(self.history.beside()?)))
     }
 
-    fn import(&mut self, exported: &[u8]) -> Result<(), Storage> {
-        let (len, rest) = exported.split_first_chunk().ok_or(Storage::Stopped)?;
-        let len = usize::try_from(u64::from_le_bytes(*len)).map_err(|_| Storage::Stopped)?;
-        let (index, contents) = rest.split_at_checked(len).ok_or(Storage::Stopped)?;
-        let mut saved: Saved = machine::decode(index)?;
-        self.reset()?;
-        let mut kept: Vec<&mut Kept> = saved.kept.values_mut().collect();
-        kept.sort_unstable_by_key(|kept| kept.item.offset);
-        let items: Result<Vec<&[u8]>, Storage> =
-            kept.iter().map(|kept| content(contents, &kept.item)).collect();
-        let located = self.history.append_all(&items?)?;
-        for (kept, item) in kept.into_iter().zip(located) {
-            kept.item = item;
-        }
+    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
+        let saved: Saved = machine::decode(received)?;
+        self.history.adopt(saved.history)?;
         self.restore(saved);
         Ok(())
     }
@@ -306,30 +268,3 @@
         )
     }
 }
-
-/// Merges neighbouring items into spans of up to [`SPAN_BYTES`].
-fn spans(items: &[Locator]) -> Vec<(u64, u64, usize)> {
-    let mut spans: Vec<(u64, u64, usize)> = Vec::new();
-    for item in items {
-        let len = usize::try_from(item.len).unwrap_or(usize::MAX);
-        match spans.last_mut() {
-            Some((segment, offset, span))
-                if *segment == item.segment
-                    && *offset + *span as u64 == item.offset
-                    && *span + len <= SPAN_BYTES =>
-            {
-                *span += len;
-            }
-            _ => spans.push((item.segment, item.offset, len)),
-        }
-    }
-    spans
-}
-
-/// An item of exported contents, if it is whole.
-fn content<'a>(contents: &'a [u8], item: &Locator) -> Result<&'a [u8], Storage> {
-    let start = usize::try_from(item.offset).unwrap_or(usize::MAX);
-    let end = start.saturating_add(usize::try_from(item.len).unwrap_or(usize::MAX));
-    let found = contents.get(start..end).filter(|found| crc32fast::hash(found) == item.crc);
-    found.ok_or_else(|| Storage::Damaged { file: "export".to_owned(), offset: item.offset })
-}
--- a/crates/state/src/turn/mod.rs
+++ b/crates/state/src/turn/mod.rs
@@ -7,6 +7,7 @@
 
 mod command;
 mod machine;
+mod transfer;
 
 pub use command::{Begin, Command, End, Query, Record, Reply, Reserve};
 pub use machine::Turns;
--- a/crates/state/tests/control.rs
+++ b/crates/state/tests/control.rs
@@ -1,5 +1,6 @@
 //! Tickets, instances, quarantine and orders.
 
+use crate::util;
 use state::budget::Amount;
 use state::control::{
     CRASH_LIMIT, Change, Command, Config, Control, Deployment, Reply, Role, Server, Service,
@@ -200,7 +201,7 @@
     let mut control = control();
     (1..=50).for_each(|number| drop(control.execute(allow(number, &["m1"]))));
     let mut other = Control::default();
-    other.import(&control.export().unwrap()).unwrap();
+    other.import(&util::whole(&control)).unwrap();
     assert_eq!(other, control);
     assert_eq!(other.execute(allow(50, &["m1"])), control.execute(allow(50, &["m1"])));
 }
--- a/crates/state/tests/main.rs
+++ b/crates/state/tests/main.rs
@@ -8,3 +8,4 @@
 mod programs;
 mod registry;
 mod turns;
+mod util;
--- a/crates/state/tests/programs.rs
+++ b/crates/state/tests/programs.rs
@@ -1,5 +1,6 @@
 //! Programs: order, budget, sub-agents, outcomes.
 
+use crate::util;
 use state::budget::Amount;
 use state::error::Kind;
 use state::history::{Files, Memory};
@@ -266,12 +267,12 @@
     let mut loaded = Shard::new(Box::new(Files::open(folder.path()).unwrap()));
     loaded.load(&saved).unwrap();
     assert_eq!(loaded.view(&Query::History(program("p"))).unwrap(), history);
-    let exported = loaded.export().unwrap();
+    let exported = util::whole(&loaded);
     let other = tempfile::tempdir().unwrap();
     let mut imported = Shard::new(Box::new(Files::open(other.path()).unwrap()));
     imported.import(&exported).unwrap();
     assert_eq!(imported.view(&Query::History(program("p"))).unwrap(), history);
-    assert_eq!(imported.export().unwrap(), exported);
+    assert_eq!(util::whole(&imported), exported);
 }
 
 /// Random commands never let a budget be exceeded or a reservation be lost.
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -1,5 +1,6 @@
 //! Turn chains and token budgets.
 
+use crate::util;
 use state::history::{Files, Memory};
 use state::machine::Machine;
 use state::turn::{Begin, Command, End, Record, Reply, Reserve, Turns};
@@ -120,7 +121,7 @@
     first.execute(begin("a", 600, 3)).unwrap();
     let files = Files::open(folder.path()).unwrap();
     let mut second = Turns::new(Box::new(files));
-    second.import(&first.export().unwrap()).unwrap();
+    util::copy(&first, &mut second, 7);
     assert_eq!(second.chain("child").unwrap().unwrap(), b"<root><child>");
     assert_eq!(second.execute(begin("b", 600, 4)).unwrap(), Reply::Exhausted { left: 400 });
     let saved = second.save().unwrap();
@@ -129,3 +130,57 @@
     third.load(&saved).unwrap();
     assert_eq!(third.chain("child").unwrap().unwrap(), b"<root><child>");
 }
+
+#[test]
+fn an_import_that_is_given_up_leaves_the_own_state() {
+    let folder = tempfile::tempdir().unwrap();
+    let open = || Turns::new(Box::new(Files::open(folder.path()).unwrap()));
+    let mut other = turns();
+    keep(&mut other, "other", None, 1);
+    let mut own = open();
+    keep(&mut own, "root", None, 1);
+    let saved = own.save().unwrap();
+    for _ in 0..2 {
+        let export = other.export().unwrap();
+        let mut import = own.importer().unwrap();
+        import.take(&export.read(0, usize::try_from(export.size() - 1).unwrap()).unwrap()).unwrap();
+        assert!(import.end().is_err(), "the last byte is missing");
+    }
+    assert_eq!(own.chain("root").unwrap().unwrap(), b"<root>");
+    drop(own);
+    let mut again = open();
+    again.load(&saved).unwrap();
+    assert_eq!(again.chain("root").unwrap().unwrap(), b"<root>");
+    assert_eq!(again.chain("other").unwrap(), None);
+}
+
+#[test]
+fn a_state_received_replaces_the_own_one_and_frees_its_files() {
+    let folder = tempfile::tempdir().unwrap();
+    let open = || Turns::new(Box::new(Files::open(folder.path()).unwrap()));
+    let mut own = open();
+    keep(&mut own, "old", None, 1);
+    let mut other = turns();
+    keep(&mut other, "root", None, 1);
+    util::copy(&other, &mut own, 1_000);
+    keep(&mut own, "child", Some("root"), 2);
+    let saved = own.save().unwrap();
+    own.prune().unwrap();
+    assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 1);
+    drop(own);
+    let mut again = open();
+    again.load(&saved).unwrap();
+    assert_eq!(again.chain("child").unwrap().unwrap(), b"<root><child>");
+    assert_eq!(again.chain("old").unwrap(), None);
+}
+
+#[test]
+fn a_damaged_content_is_not_taken() {
+    let mut own = turns();
+    let mut other = turns();
+    keep(&mut other, "root", None, 1);
+    let mut bytes = util::whole(&other);
+    *bytes.last_mut().unwrap() ^= 1;
+    assert!(own.importer().unwrap().take(&bytes).is_err());
+    assert_eq!(own.chain("root").unwrap(), None);
+}
--- a/crates/transport/src/replica.rs
+++ b/crates/transport/src/replica.rs
@@ -6,13 +6,15 @@
 use crate::clock::Clock;
 use crate::storage::{Identity, Opened};
 use coordination::Millis;
-use coordination::consensus::{Entry, Id, Message, Meta, Payload, Plan, Ready, Replica, Settings};
+use coordination::consensus::{
+    Entry, Id, Message, Meta, Part, Payload, Plan, Ready, Replica, Settings, Wanted,
+};
 use coordination::membership::{Candidate, Planner, Step};
 use protocol::wire::Envelope;
 use state::collections::Map;
 use state::error::Storage;
 use state::journal::{Log, Record};
-use state::machine::{self, Machine};
+use state::machine::{self, Export, Import, Machine};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
@@ -182,9 +184,6 @@
     Ok(Handle { jobs, status })
 }
 
-/// A state for another replica, where it ends, and whom it is for.
-type Export = (Id, Meta, Result<Vec<u8>, Storage>);
-
 struct Thread {
     group: u32,
     id: Id,
@@ -196,7 +195,10 @@
     planner: Option<Planner>,
     present: Vec<Candidate>,
     planned: Millis,
-    exports: (Sender<Export>, Receiver<Export>),
+    /// States that are being sent, by receiver.
+    exports: Map<Id, Box<dyn Export>>,
+    /// State that is being received.
+    import: Option<Box<dyn Import>>,
     compact_bytes: u64,
     names: Map<Id, String>,
     next_token: u64,
@@ -231,7 +233,8 @@
             planner: start.planner,
             present: Vec::new(),
             planned: 0,
-            exports: channel(),
+            exports: Map::default(),
+            import: None,
             compact_bytes: start.compact_bytes,
             names: Map::default(),
             next_token: 0,
@@ -359,12 +362,11 @@
     }
 
     fn work(&mut self) -> Result<(), Storage> {
-        self.offer_exports()?;
         loop {
             let ready = self.replica.ready();
             if ready.is_empty() {
-                self.answer_reads()?;
-                return Ok(());
+                self.drop_exports();
+                return self.answer_reads();
             }
             self.handle(ready)?;
         }
@@ -372,8 +374,11 @@
 
     fn handle(&mut self, ready: Ready) -> Result<(), Storage> {
         self.send(ready.early);
-        if let Some((meta, state)) = ready.install {
-            self.install(&meta, &state)?;
+        for part in ready.parts {
+            self.receive(&part)?;
+        }
+        if let Some(meta) = ready.install {
+            self.install(&meta)?;
         }
         let last = ready.entries.last().map(|entry| entry.index);
         let records =
@@ -396,38 +401,53 @@
         for peer in ready.wants_snapshot {
             self.export(peer)?;
         }
+        for wanted in ready.wants_parts {
+            self.send_part(&wanted)?;
+        }
         self.compact_if_large()
     }
 
-    /// Lets another thread export the state for a replica that lags: reading all history
-    /// takes longer than an election.
-    fn export(&self, peer: Id) -> Result<(), Storage> {
+    /// Starts to send the state to a replica that lags.
+    fn export(&mut self, peer: Id) -> Result<(), Storage> {
         let meta = self.replica.meta_at(self.applied);
-        let exporter = self.machine.exporter()?;
-        let exports = self.exports.0.clone();
-        std::thread::Builder::new().name("export".to_owned()).spawn(move || {
-            // The replica may have stopped meanwhile.
-            drop(exports.send((peer, meta, exporter())));
-        })?;
+        let export = self.machine.export()?;
+        let bytes = export.size();
+        tracing::info!(
+            group = self.group,
+            peer,
+            index = meta.index,
+            bytes,
+            "snapshot for a replica that lags"
+        );
+        self.exports.insert(peer, export);
+        self.replica.offer_snapshot(peer, meta, bytes);
         Ok(())
     }
 
-    /// Offers the exports that are ready.
-    fn offer_exports(&mut self) -> Result<(), Storage> {
-        while let Ok((peer, meta, exported)) = self.exports.1.try_recv() {
-            let exported = exported?;
-            tracing::info!(
-                group = self.group,
-                peer,
-                index = meta.index,
-                bytes = exported.len(),
-                "snapshot for a replica that lags"
-            );
-            self.replica.offer_snapshot(peer, meta, exported);
+    fn send_part(&mut self, wanted: &Wanted) -> Result<(), Storage> {
+        if let Some(export) = self.exports.get(&wanted.to) {
+            let data = export.read(wanted.offset, wanted.len)?;
+            self.replica.offer_part(wanted, data);
         }
         Ok(())
     }
 
+    /// Drops the states whose receivers have them, or are gone.
+    fn drop_exports(&mut self) {
+        if !self.exports.is_empty() {
+            let receivers: Vec<Id> = self.replica.snapshots().map(|(id, _)| id).collect();
+            self.exports.retain(|id, _| receivers.contains(id));
+        }
+    }
+
+    fn receive(&mut self, part: &Part) -> Result<(), Storage> {
+        if part.offset == 0 {
+            tracing::info!(group = self.group, "snapshot begins to arrive");
+            self.import = Some(self.machine.importer()?);
+        }
+        self.import.as_mut().map_or(Ok(()), |import| import.take(&part.data))
+    }
+
     fn persist(&mut self, records: &[Record]) -> Result<(), Storage> {
         let before = (Instant::now(), self.log.bytes());
         self.log.append(records)?;
@@ -482,9 +502,11 @@
         Ok(())
     }
 
-    fn install(&mut self, meta: &Meta, state: &[u8]) -> Result<(), Storage> {
-        self.machine.import(state)?;
+    fn install(&mut self, meta: &Meta) -> Result<(), Storage> {
+        let import = self.import.take().ok_or(Storage::Stopped)?;
+        self.machine.import(&import.end()?)?;
         self.applied = meta.index;
+        tracing::info!(group = self.group, index = meta.index, "snapshot installed");
         let saved = self.machine.save()?;
         self.rewrite(meta, saved)
     }
@@ -495,7 +517,10 @@
         }
         let saved = self.machine.save()?;
         let meta = self.replica.meta_at(self.applied);
-        self.replica.compact(self.applied.saturating_sub(TRAIL));
+        // Whoever gets a snapshot now needs the entries after it next.
+        let sent = self.replica.snapshots().map(|(_, index)| index).min();
+        let trail = self.applied.saturating_sub(TRAIL);
+        self.replica.compact(sent.map_or(trail, |index| index.min(trail)));
         self.rewrite(&meta, saved)
     }
 
