perf(placement): a program stays with the server that holds its cache

New programs go to the less loaded of two servers, to the least loaded of all where both are crowded, and to other failure domains where those are clearly less loaded. These bounds are settings of our own (--settings FILE, TOML).

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -4,11 +4,15 @@
 //! and a burst fills some servers before others. A server's load is what this instance has
 //! outstanding there and what the others said some hundred milliseconds ago.
 //!
-//! A session's requests go to the same backend server, whose cache then holds what the
-//! session said, unless that server has clearly more than its share of the load and more
-//! than half of its slots taken: rendezvous hashing with a bound on the load. Requests
-//! without a session go to the server with the least load. Servers of the own failure
-//! domain come first; others are used when the own ones are full, suspended or gone.
+//! A program's requests go to the backend server that ran its last turn, whose cache holds
+//! what was said, until reading all of it again elsewhere would take less time than the wait
+//! there. Others go to the less loaded of two servers that the session's name picks: better
+//! than the least loaded of all, whom all instances would choose at once until they hear of
+//! each other. Where both are crowded, the least loaded of all is better. Requests without a session go to the server with the least load. Servers of
+//! the own failure domain come first, until they are clearly more loaded than others.
+//!
+//! Source of the two choices: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+//! Balancing", 2001.
 
 use crate::Millis;
 use crate::routing;
@@ -16,14 +20,20 @@
 use state::collections::Map;
 
 /// Bounds of the decision.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// Share of the average load that a session's server may have before the next one is
-    /// used, in percent; within the usual range of hashing with bounded loads.
-    pub bound_percent: u32,
-    /// Share of its slots up to which a session's server is used whatever the others have, in
-    /// percent; below it an engine's steps take little longer than alone.
-    pub free_percent: u32,
+    /// Load up to which a program stays with its server, in percent of the slots: waiting for
+    /// one place after another costs less than reading the program's context again, which
+    /// also delays all others there.
+    pub stay_percent: u32,
+    /// Load from which more servers than the first two, and those of other failure domains,
+    /// are looked at, in percent of the slots; below it steps of an engine take little longer
+    /// than alone.
+    pub spill_percent: u32,
+    /// By how much a server of another failure domain must be less loaded, in percent of the
+    /// slots; covers the age of what is known.
+    pub spill_margin_percent: u32,
     /// First suspension of a server that could not be reached, in milliseconds; a few
     /// connection attempts long.
     pub suspend_ms: Millis,
@@ -37,8 +47,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            bound_percent: 125,
-            free_percent: 50,
+            stay_percent: 200,
+            spill_percent: 75,
+            spill_margin_percent: 25,
             suspend_ms: 250,
             suspend_most_ms: 2_000,
             full_ms: 50,
@@ -85,6 +96,8 @@
     pub service: &'a str,
     /// Session whose cache the server should hold.
     pub session: Option<&'a str>,
+    /// Server that ran the session's last request.
+    pub holder: Option<&'a str>,
     /// Servers that have been tried.
     pub tried: &'a [String],
 }
@@ -94,6 +107,7 @@
 pub struct Server {
     /// The list's entry.
     pub listed: Listed,
+    digest: u64,
     /// Requests of this instance that it runs.
     pub outstanding: u32,
     /// Requests of the other instances, as they said last.
@@ -108,6 +122,11 @@
         self.outstanding.saturating_add(self.others)
     }
 
+    /// Load in percent of the slots.
+    fn percent(&self) -> u32 {
+        self.load().saturating_mul(100) / self.listed.slots.max(1)
+    }
+
     /// Whether it may be chosen at `now`.
     pub fn is_open(&self, now: Millis) -> bool {
         !self.listed.is_draining && self.suspended_until <= now
@@ -175,9 +194,14 @@
             }
             let server = match old.filter(|old| old.listed.address == listed.address) {
                 Some(old) => Server { listed, ..old },
-                None => {
-                    Server { listed, outstanding: 0, others: 0, failures: 0, suspended_until: 0 }
-                }
+                None => Server {
+                    digest: routing::digest(&listed.id),
+                    listed,
+                    outstanding: 0,
+                    others: 0,
+                    failures: 0,
+                    suspended_until: 0,
+                },
             };
             servers.insert(server.listed.id.clone(), server);
         }
@@ -240,27 +264,48 @@
             .filter_map(|id| self.servers.get(id))
             .filter(|server| server.is_open(now) && !wish.tried.contains(&server.listed.id))
             .collect();
+        let holder = open.iter().find(|server| wish.holder == Some(server.listed.id.as_str()));
+        if let Some(holder) = holder.filter(|s| s.percent() < self.settings.stay_percent) {
+            return Some(&holder.listed);
+        }
         let is_near = |server: &&Server| server.listed.failure_domain == self.failure_domain;
-        let near: Vec<&Server> = open.iter().copied().filter(is_near).collect();
-        let has_room = |server: &&Server| server.load() < server.listed.slots;
-        let pool = if near.iter().any(has_room) { near } else { open };
-        let server = match wish.session {
-            Some(session) => self.bounded(&pool, session),
-            None => pool.into_iter().min_by_key(|server| {
-                (server.load(), routing::score(&self.failure_domain, &server.listed.id))
-            }),
+        let (near, far): (Vec<&Server>, Vec<&Server>) = open.into_iter().partition(is_near);
+        let (near, far) = (self.best(&near, wish.session), self.best(&far, wish.session));
+        let server = match (near, far) {
+            (Some(near), Some(far)) => {
+                let margin = self.settings.spill_margin_percent;
+                let is_crowded = near.percent() >= self.settings.spill_percent;
+                let is_better = far.percent() + margin <= near.percent();
+                if is_crowded && is_better { Some(far) } else { Some(near) }
+            }
+            (near, far) => near.or(far),
         };
         server.map(|server| &server.listed)
     }
 
-    /// The session's first server whose load is within the bound.
-    fn bounded<'a>(&self, pool: &[&'a Server], session: &str) -> Option<&'a Server> {
-        let total: u32 = pool.iter().map(|server| server.load()).sum();
-        let count = u32::try_from(pool.len()).unwrap_or(u32::MAX).max(1);
-        let bound = ((total + 1) * self.settings.bound_percent).div_ceil(100 * count).max(1);
-        let free = |server: &Server| server.listed.slots * self.settings.free_percent / 100;
-        let within = pool.iter().copied().filter(|s| s.load() < bound.max(free(s)));
-        within.max_by_key(|server| routing::score(session, &server.listed.id))
+    /// The best of servers that are equally near.
+    fn best<'a>(&self, pool: &[&'a Server], session: Option<&str>) -> Option<&'a Server> {
+        let Some(session) = session else {
+            let key = routing::digest(&self.failure_domain);
+            return pool.iter().copied().min_by_key(|s| (s.load(), routing::mix(key, s.digest)));
+        };
+        let key = routing::digest(session);
+        let mut two = [None; 2];
+        for server in pool.iter().copied() {
+            let scored = Some((routing::mix(key, server.digest), server));
+            let score = |two: Option<(u64, &Server)>| two.map(|(score, _)| score);
+            if score(scored) > score(two[0]) {
+                two = [scored, two[0]];
+            } else if score(scored) > score(two[1]) {
+                two[1] = scored;
+            }
+        }
+        let two = two.into_iter().flatten().map(|(_, server)| server);
+        let better = two.min_by_key(|server| server.percent())?;
+        if better.percent() < self.settings.spill_percent {
+            return Some(better);
+        }
+        pool.iter().copied().min_by_key(|s| (s.percent(), routing::mix(key, s.digest)))
     }
 
     /// A request was sent to a server.
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -17,6 +17,22 @@
     u64::from_le_bytes(word)
 }
 
+/// Number that stands for a name in [`mix`].
+pub fn digest(name: &str) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
+
+/// Score of a node for a key, both as digests: as even as [`score`], without hashing names
+/// for each decision. The finalizer of SplitMix64.
+pub fn mix(key: u64, node: u64) -> u64 {
+    let mut word = key ^ node;
+    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
+
 /// The instance with the highest score among `nodes`.
 pub fn pick<'a>(key: &str, nodes: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     nodes.max_by_key(|node| score(key, node))
--- a/crates/state/src/turn/command.rs
+++ b/crates/state/src/turn/command.rs
@@ -46,6 +46,8 @@
     pub program: Option<String>,
     /// Tokens that reached the caller.
     pub tokens: u64,
+    /// Backend server that ran it.
+    pub server: Option<String>,
     /// What later turns may continue from.
     pub record: Option<Record>,
     /// Time of day at the sender, in milliseconds since the Unix epoch.
@@ -67,8 +69,13 @@
 /// Answer to a [`Command`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// Done, now or before.
+    /// The end is recorded, now or before.
     Done,
+    /// The turn may be sent.
+    Begun {
+        /// Backend server that ran the program's last turn, and may hold its cache.
+        server: Option<String>,
+    },
     /// The budget does not cover the most that the turn can draw.
     Exhausted {
         /// Tokens that are neither drawn nor reserved.
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -32,6 +32,8 @@
     open: Map<String, u64>,
     /// Turns that have ended; a late copy of their begin reserves nothing.
     ended: Set<String>,
+    /// Backend server that ran the last turn.
+    server: Option<String>,
     expires_ms: u64,
 }
 
@@ -101,7 +103,7 @@
             self.extend(previous, until);
         }
         let Some(reserve) = begin.reserve else {
-            return Reply::Done;
+            return Reply::Begun { server: None };
         };
         let expires_ms = self.now_ms + BUDGET_KEPT_MS.max(begin.keep_ms + CLOCK_SLACK_MS);
         let program = self.programs.entry(reserve.program).or_default();
@@ -109,15 +111,16 @@
         if program.ended.contains(&begin.turn) {
             return Reply::Ended;
         }
+        let server = program.server.clone();
         if program.open.contains_key(&begin.turn) {
-            return Reply::Done;
+            return Reply::Begun { server };
         }
         let drawn = program.drawn();
         if drawn.saturating_add(reserve.most) > reserve.budget {
             return Reply::Exhausted { left: reserve.budget.saturating_sub(drawn) };
         }
         program.open.insert(begin.turn, reserve.most);
-        Reply::Done
+        Reply::Begun { server }
     }
 
     fn end(&mut self, end: End) -> Result<Reply, Storage> {
@@ -128,6 +131,7 @@
             if program.ended.insert(end.turn.clone()) {
                 program.open.remove(&end.turn);
                 program.spent = program.spent.saturating_add(end.tokens);
+                program.server = end.server.or(program.server.take());
             }
         }
         if let Some(record) = end.record {
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -122,6 +122,16 @@
     pub(super) may_have_run: bool,
 }
 
+/// A request that may be sent.
+#[derive(Default)]
+struct Started {
+    turn: Option<Turn>,
+    /// Content of the turns before it.
+    before: Vec<u8>,
+    /// Backend server that may hold its program's cache.
+    holder: Option<String>,
+}
+
 /// What is needed to pass an answer on.
 struct Answered {
     response: Response<Incoming>,
@@ -154,7 +164,7 @@
         let until = self.story.started + time;
         let body = read_body(body, table.limits().body_bytes, until).await?;
         let service = route.pick(rand::rng().next_u64()).to_owned();
-        let (turn, before) = self.begin(ask, &route, until).await?;
+        let Started { mut turn, before, holder } = self.begin(ask, &route, until).await?;
         let content = if before.is_empty() {
             body.clone()
         } else {
@@ -163,8 +173,19 @@
             content.extend_from_slice(&body);
             content.freeze()
         };
-        let send = Sending { ask, route: &route, service: &service, head: &head, content, until };
+        let send = Sending {
+            ask,
+            route: &route,
+            service: &service,
+            head: &head,
+            content,
+            holder: holder.as_deref(),
+            until,
+        };
         let (response, attempt) = self.send(&send).await?;
+        if let Some(turn) = &mut turn {
+            turn.server = Some(attempt.server.id.clone());
+        }
         let keep = route.keeps_turns.then(|| Keep {
             previous: ask.previous.clone(),
             input: body,
@@ -181,13 +202,8 @@
         })
     }
 
-    /// Begins a turn if the request is one; returns the content before it.
-    async fn begin(
-        &self,
-        ask: &Ask,
-        route: &Route,
-        until: Instant,
-    ) -> Result<(Option<Turn>, Vec<u8>), Fault> {
+    /// Begins a turn if the request is one.
+    async fn begin(&self, ask: &Ask, route: &Route, until: Instant) -> Result<Started, Fault> {
         let reserve = match (&ask.program, ask.budget) {
             (Some(program), Some(budget)) if route.is_stream => {
                 Some(Reserve { program: program.clone(), budget: budget.total, most: budget.most })
@@ -196,7 +212,7 @@
         };
         let previous = ask.previous.clone().filter(|_| route.keeps_turns);
         if reserve.is_none() && !route.keeps_turns {
-            return Ok((None, Vec::new()));
+            return Ok(Started::default());
         }
         let begin = Begin {
             turn: ask.id.clone(),
@@ -213,7 +229,7 @@
         self.entry.is_journal_lost.store(begun.is_err(), Ordering::Relaxed);
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
         match begun {
-            Ok(Begun::Go(before)) => Ok((Some(turn), before)),
+            Ok(Begun::Go { before, holder }) => Ok(Started { turn: Some(turn), before, holder }),
             Ok(Begun::Exhausted { left }) => {
                 let detail = format!("{left} tokens are left, the turn may draw more");
                 Err(Refusal::new(Kind::BudgetExhausted, detail).into())
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -41,6 +41,8 @@
     pub(super) service: &'a str,
     pub(super) head: &'a request::Parts,
     pub(super) content: Bytes,
+    /// Backend server that ran the program's last turn.
+    pub(super) holder: Option<&'a str>,
     pub(super) until: Instant,
 }
 
@@ -117,7 +119,7 @@
     async fn choose(&mut self, send: &Sending<'_>, tried: &[String]) -> Result<Listed, Fault> {
         let session = send.ask.program.as_deref().or(send.ask.session.as_deref());
         let session = session.filter(|_| send.route.is_sticky);
-        let wish = Wish { service: send.service, session, tried };
+        let wish = Wish { service: send.service, session, holder: send.holder, tried };
         let patience = send.route.objective.mul_f64(0.2);
         let until = (Instant::now() + patience).min(send.until);
         loop {
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -17,8 +17,13 @@
 /// What the journal says to a turn that is about to be sent.
 #[derive(Debug)]
 pub(crate) enum Begun {
-    /// It may be sent, after this content of the turns before it.
-    Go(Vec<u8>),
+    /// It may be sent.
+    Go {
+        /// Content of the turns before it.
+        before: Vec<u8>,
+        /// Backend server that ran the program's last turn.
+        holder: Option<String>,
+    },
     /// Its program's budget is spent.
     Exhausted {
         /// Tokens that are left.
@@ -35,6 +40,8 @@
     program: Option<String>,
     /// Tokens that reached the caller.
     pub(crate) tokens: u64,
+    /// Backend server that ran it.
+    pub(crate) server: Option<String>,
     is_open: bool,
 }
 
@@ -53,6 +60,7 @@
             is_open: program.is_some(),
             program,
             tokens: 0,
+            server: None,
         };
         let previous = begin.previous.clone();
         let answer = ask(member, &Command::Begin(begin), previous, timeout).await;
@@ -80,6 +88,7 @@
             turn: self.id.clone(),
             program: self.program.clone(),
             tokens: self.tokens,
+            server: self.server.clone(),
             record,
             now_ms: crate::clock::unix_ms(),
         })
@@ -134,10 +143,13 @@
         None => Some(ByteBuf::new()),
     };
     match machine::decode(&reply).map_err(|_| Unreachable)? {
-        Reply::Done => chain.map(|chain| Begun::Go(chain.into_vec())).ok_or(Unreachable),
+        Reply::Begun { server } => {
+            let before = chain.ok_or(Unreachable)?.into_vec();
+            Ok(Begun::Go { before, holder: server })
+        }
         Reply::Exhausted { left } => Ok(Begun::Exhausted { left }),
         Reply::NoSuchTurn => Ok(Begun::NoSuchTurn),
         // Only a copy of a begin that was given up meets its own end.
-        Reply::Ended => Err(Unreachable),
+        Reply::Ended | Reply::Done => Err(Unreachable),
     }
 }
