perf(member): entries answer which entry to use; one control instance relays to each

Change: the entries serve the directory, control instances do not. An entry knows the ready ones from a roster that comes with the answers to beats whenever its digest changed. List, loads and roster now come from one control instance at a time, another after three beats without an answer; loads go as numbers in the order of the list. That is a fifth of the traffic with five control instances, and no names in it.

--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -40,8 +40,13 @@
     pub replica: Option<Held>,
     /// Revision of the registry that it knows, or 0.
     pub revision: u64,
+    /// Whether the answer should carry what is relayed; one control instance at a time is
+    /// asked for it.
+    pub wants_relay: bool,
     /// Digest of the list of backend servers that it knows, or 0.
     pub list: u64,
+    /// Digest of the roster that it knows, or 0.
+    pub roster: u64,
     /// Requests that it has outstanding, by backend server.
     pub loads: Vec<(String, u32)>,
 }
@@ -57,6 +62,26 @@
     pub servers: Option<Vec<Listed>>,
 }
 
+/// Ready entries, for callers that ask which to use.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Digest of the entries; 0 if there are none.
+    pub digest: u64,
+    /// Failure domain and address for callers of each.
+    pub entries: Vec<(String, String)>,
+}
+
+impl Roster {
+    /// Addresses for callers in `failure_domain`: of its entries, or of all if it has fewer
+    /// than two.
+    pub fn near(&self, failure_domain: &str) -> Vec<String> {
+        let is_near = |entry: &&(String, String)| entry.0 == failure_domain;
+        let near = self.entries.iter().filter(is_near).count();
+        let chosen = self.entries.iter().filter(|entry| near < 2 || is_near(entry));
+        chosen.map(|(_, address)| address.clone()).collect()
+    }
+}
+
 /// A replica as its instance sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
@@ -89,6 +114,9 @@
     pub revision: u64,
     /// The list of backend servers, for entries and control instances.
     pub list: Option<Relayed>,
-    /// Requests that the other entries have outstanding, by backend server.
-    pub loads: Vec<(String, u32)>,
+    /// Requests that the other entries have outstanding on each server of the list, in its
+    /// order.
+    pub loads: Vec<u32>,
+    /// The ready entries, unless the receiver has the roster of this digest.
+    pub roster: Option<Roster>,
 }
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -2,11 +2,16 @@
 
 use crate::member::node::Member;
 use crate::member::seat::{CONTROL, PROGRAMS};
+use coordination::routing;
 use protocol::presence::{Beat, Held, Report};
 use protocol::wire::{Request, Response};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::time::Instant;
+
+/// Beats without an answer of the relaying control instance after which another is asked.
+const RELAY_PATIENCE: u32 = 3;
 
 /// Time for a control instance to answer; some beats long.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -16,10 +21,14 @@
 
 /// Sends beats for as long as the process runs.
 pub(crate) async fn run(member: Arc<Member>) {
+    let mut source = Source::default();
     loop {
         let beat = beat(&member);
-        for address in member.control_addresses() {
-            let (member, beat) = (member.clone(), beat.clone());
+        let addresses = member.control_addresses();
+        let relay = source.choose(&member, &addresses);
+        for address in addresses {
+            let (member, mut beat) = (member.clone(), beat.clone());
+            beat.wants_relay = Some(&address) == relay.as_ref();
             tokio::spawn(async move {
                 let request = Request::Beat(Box::new(beat));
                 let answer = member.fabric.call(&address, &request, BEAT_TIMEOUT).await;
@@ -37,6 +46,33 @@
     }
 }
 
+/// The control instance that is asked for what is relayed.
+#[derive(Default)]
+struct Source {
+    address: Option<String>,
+    chosen: Option<Instant>,
+}
+
+impl Source {
+    /// Keeps to one instance for as long as it answers.
+    fn choose(&mut self, member: &Member, addresses: &[String]) -> Option<String> {
+        let patience = member.settings.beat * RELAY_PATIENCE;
+        let relayed = member.servers.borrow().relayed.max(self.chosen);
+        let is_silent = relayed.is_none_or(|at| at.elapsed() > patience);
+        let is_listed = self.address.as_ref().is_some_and(|held| addresses.contains(held));
+        if is_silent || !is_listed {
+            // Instances spread over the sources by their names, and go round from there.
+            let held = self.address.as_ref();
+            let at = held.and_then(|held| addresses.iter().position(|address| address == held));
+            let start = routing::digest(&member.settings.name) as usize;
+            let next = at.map_or(start, |at| at + 1) % addresses.len().max(1);
+            self.address = addresses.get(next).cloned();
+            self.chosen = Some(Instant::now());
+        }
+        self.address.clone()
+    }
+}
+
 fn beat(member: &Member) -> Beat {
     let settings = &member.settings;
     let is_leaving = member.is_leaving.load(Ordering::Relaxed);
@@ -49,7 +85,9 @@
         is_ready: member.is_ready.load(Ordering::Relaxed) && !is_leaving,
         replica: held(member),
         revision: member.known.borrow().registry.revision,
+        wants_relay: false,
         list: member.servers.borrow().list.as_ref().map_or(0, |held| held.digest),
+        roster: member.known.borrow().roster.digest,
         loads: member.loads.get().map(|loads| loads()).unwrap_or_default(),
     }
 }
@@ -83,16 +121,19 @@
         );
         member.learn(registry);
     }
-    if report.list.is_some() || !report.loads.is_empty() {
+    if let Some(relayed) = report.list {
         member.servers.send_modify(|known| {
-            if let Some(relayed) = report.list {
-                known.take(relayed);
-            }
-            known.loads = Arc::new(report.loads);
+            known.relayed = Some(Instant::now());
+            let digest = relayed.digest;
+            known.take(relayed);
+            known.share(digest, &report.loads);
         });
     }
     member.known.send_modify(|known| {
-        known.heard = Some(tokio::time::Instant::now());
+        known.heard = Some(Instant::now());
+        if let Some(roster) = report.roster {
+            known.roster = Arc::new(roster);
+        }
         if !report.control.is_empty() {
             known.control = report.control;
         }
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -10,7 +10,7 @@
 use crate::node::Error;
 use crate::replica::{Handle, Job};
 use coordination::membership::{self, Candidate};
-use protocol::presence::{Beat, Report, Role};
+use protocol::presence::{Beat, Report, Role, Roster};
 use protocol::wire::{Request, Response};
 use state::collections::Map;
 use state::machine;
@@ -41,6 +41,8 @@
     pub(crate) control: Vec<String>,
     pub(crate) programs: Vec<String>,
     pub(crate) heard: Option<Instant>,
+    /// Ready entries.
+    pub(crate) roster: Arc<Roster>,
 }
 
 /// A running instance.
@@ -200,6 +202,16 @@
         }
     }
 
+    /// Addresses for callers in `failure_domain`, as far as this instance knows.
+    pub fn entries(&self, failure_domain: &str) -> Vec<String> {
+        let own = match self.settings.role {
+            Role::Control => self.register.lock().ok().and_then(|register| register.roster(0)),
+            Role::Entry | Role::Programs => None,
+        };
+        let roster = own.map_or_else(|| self.known.borrow().roster.clone(), Arc::new);
+        roster.near(failure_domain)
+    }
+
     /// Addresses of control instances: those that were reported, and the seeds.
     pub(crate) fn control_addresses(&self) -> Vec<String> {
         let mut all = self.known.borrow().control.clone();
@@ -288,13 +300,9 @@
     fn report(&self, beat: Beat) -> Response {
         let registry = self.known.borrow().registry.clone();
         let (name, role, revision) = (beat.name.clone(), beat.role, beat.revision);
-        let list = match role {
-            Role::Entry | Role::Control => {
-                let known = self.servers.borrow();
-                known.list.as_ref().map(|held| held.relay(beat.list))
-            }
-            Role::Programs => None,
-        };
+        let (wants_relay, roster) = (beat.wants_relay, beat.roster);
+        let held = self.servers.borrow().list.clone().filter(|_| role != Role::Programs);
+        let list = held.as_ref().filter(|_| wants_relay).map(|held| held.relay(beat.list));
         let Ok(mut register) = self.register.lock() else {
             return Response::Unknown;
         };
@@ -311,6 +319,8 @@
             Role::Programs => register.candidates(Role::Programs, &registry),
             Role::Entry | Role::Control => Vec::new(),
         };
+        let is_relayed_to = role == Role::Entry && wants_relay;
+        let servers = held.filter(|_| is_relayed_to).map(|held| held.servers);
         let report = Report {
             registry: (revision < registry.revision).then(|| Registry::clone(&registry)),
             control: register.addresses(Role::Control),
@@ -319,7 +329,8 @@
             candidates,
             revision: registry.revision,
             list,
-            loads: if role == Role::Entry { register.loads(&name) } else { Vec::new() },
+            loads: servers.map(|list| register.loads(&name, &list)).unwrap_or_default(),
+            roster: if is_relayed_to { register.roster(roster) } else { None },
         };
         Response::Report(Box::new(report))
     }
@@ -376,6 +387,7 @@
             "retiring": known.registry.retiring,
             "control": known.control,
             "programs": known.programs,
+            "entries": known.roster.entries.len(),
             "heard_ms": known.heard.map(|at| at.elapsed().as_millis()),
             "replica": replica,
             "instances": instances,
--- a/crates/transport/src/member/operators.rs
+++ b/crates/transport/src/member/operators.rs
@@ -110,11 +110,6 @@
         Ok(Some(if is_done { Retirement::Done } else { Retirement::Running }))
     }
 
-    /// Addresses for callers from a failure domain.
-    pub fn entries(&self, failure_domain: &str) -> Vec<String> {
-        self.register.lock().map(|register| register.entries(failure_domain)).unwrap_or_default()
-    }
-
     async fn submit(&self, command: &Command) -> Result<Reply, Unreachable> {
         let command = machine::encode(command).map_err(|_| Unreachable)?;
         let request = Request::Submit { group: CONTROL, command };
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -1,7 +1,9 @@
 //! Who is present, as one control instance hears it.
 
 use coordination::membership::Candidate;
-use protocol::presence::{Beat, Held, Role};
+use coordination::placement::Listed;
+use coordination::routing;
+use protocol::presence::{Beat, Held, Role, Roster};
 use state::collections::Map;
 use state::registry::Registry;
 use std::time::Duration;
@@ -11,6 +13,8 @@
 #[derive(Debug, Clone)]
 struct Seen {
     beat: Beat,
+    /// Digest of its address for callers.
+    digest: u64,
     at: Instant,
 }
 
@@ -28,17 +32,20 @@
 
     /// Takes a sign of life; `true` if the instance was absent.
     pub(crate) fn hear(&mut self, beat: Beat) -> bool {
-        let seen = Seen { beat, at: Instant::now() };
+        let digest = beat.callers.as_deref().map_or(0, routing::digest);
+        let seen = Seen { beat, digest, at: Instant::now() };
         let old = self.seen.insert(seen.beat.name.clone(), seen);
         old.is_none_or(|old| old.at.elapsed() > self.absent_after)
     }
 
+    fn seen(&self, role: Role) -> impl Iterator<Item = &Seen> {
+        let now = Instant::now();
+        let is_present = move |seen: &&Seen| now.duration_since(seen.at) <= self.absent_after;
+        self.seen.values().filter(move |seen| seen.beat.role == role).filter(is_present)
+    }
+
     fn present(&self, role: Role) -> impl Iterator<Item = &Beat> {
-        self.seen
-            .values()
-            .filter(move |seen| seen.at.elapsed() <= self.absent_after)
-            .map(|seen| &seen.beat)
-            .filter(move |beat| beat.role == role)
+        self.seen(role).map(|seen| &seen.beat)
     }
 
     /// Whether an instance of the role was ever heard, and its address.
@@ -75,25 +82,27 @@
         Some((&leader.address, leader.replica.as_ref()?))
     }
 
-    /// Addresses for callers: of ready entries in `failure_domain`, or of all if it has
-    /// fewer than two.
-    pub(crate) fn entries(&self, failure_domain: &str) -> Vec<String> {
-        let ready: Vec<&Beat> = self.present(Role::Entry).filter(|beat| beat.is_ready).collect();
-        let near: Vec<&Beat> =
-            ready.iter().copied().filter(|b| b.failure_domain == failure_domain).collect();
-        let chosen = if near.len() < 2 { ready } else { near };
-        chosen.into_iter().filter_map(|beat| beat.callers.clone()).collect()
+    /// The ready entries, unless `known` is their digest.
+    pub(crate) fn roster(&self, known: u64) -> Option<Roster> {
+        let ready = || self.seen(Role::Entry).filter(|seen| seen.beat.is_ready);
+        let digest = ready().fold(0_u64, |sum, seen| sum.wrapping_add(seen.digest));
+        if digest == known {
+            return None;
+        }
+        let entry =
+            |seen: &Seen| Some((seen.beat.failure_domain.clone(), seen.beat.callers.clone()?));
+        Some(Roster { digest, entries: ready().filter_map(entry).collect() })
     }
 
-    /// Requests that all entries but `name` have outstanding, by backend server.
-    pub(crate) fn loads(&self, name: &str) -> Vec<(String, u32)> {
+    /// Requests that all entries but `name` have outstanding on each of `servers`.
+    pub(crate) fn loads(&self, name: &str, servers: &[Listed]) -> Vec<u32> {
         let mut sums: Map<&str, u32> = Map::default();
         for beat in self.present(Role::Entry).filter(|beat| beat.name != name) {
             for (server, load) in &beat.loads {
                 *sums.entry(server).or_default() += load;
             }
         }
-        sums.into_iter().map(|(server, load)| (server.to_owned(), load)).collect()
+        servers.iter().map(|server| sums.get(server.id.as_str()).copied().unwrap_or(0)).collect()
     }
 
     /// Names, roles and ages of all instances, for an operator.
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -33,6 +33,8 @@
     pub(crate) list: Option<Held>,
     /// Requests that the other entries have outstanding.
     pub(crate) loads: Arc<Vec<(String, u32)>>,
+    /// When a control instance relayed something.
+    pub(crate) relayed: Option<Instant>,
 }
 
 /// Says what this instance has outstanding.
@@ -54,6 +56,15 @@
 }
 
 impl Known {
+    /// Takes what the others have outstanding on the servers of the list of `digest`.
+    pub(crate) fn share(&mut self, digest: u64, loads: &[u32]) {
+        if let Some(held) = self.list.as_ref().filter(|held| held.digest == digest) {
+            let ids = held.servers.iter().map(|server| server.id.clone());
+            let busy = ids.zip(loads.iter().copied()).filter(|(_, load)| *load > 0);
+            self.loads = Arc::new(busy.collect());
+        }
+    }
+
     /// Takes a relayed list if it was read later than the own one.
     pub(crate) fn take(&mut self, relayed: Relayed) {
         let Some(read) = Instant::now().checked_sub(Duration::from_millis(relayed.age_ms)) else {
