--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -32,8 +32,11 @@
     /// Age at which the relayed list of backend servers is too old, so that the entry reads
     /// it itself; a server that leaves must get nothing after some seconds.
     pub list_stale: Duration,
-    /// Time between two looks at its age, and between two reads of its own.
+    /// Time between two looks at its age, and between two reads of the own list.
     pub list_retry: Duration,
+    /// Entries that may read the list this often at one time; with more of them each reads
+    /// less often, so that all together stay below the rate that the list accepts.
+    pub list_readers: u32,
     /// Time for which callers may keep an address, the slowest of them: until then a
     /// stopping instance accepts requests.
     pub keep: Duration,
@@ -49,6 +52,7 @@
             placement: placement::Settings::default(),
             list_stale: Duration::from_millis(1_600),
             list_retry: Duration::from_millis(250),
+            list_readers: 4,
             keep: Duration::from_millis(3_200),
             drain: Duration::from_millis(4_000),
         }
@@ -244,7 +248,11 @@
         loop {
             // Instances that lack the list together must not read it at the same moment.
             let jitter = rand::rng().random_range(0.8..1.2);
-            tokio::time::sleep(self.settings.list_retry.mul_f64(jitter)).await;
+            tokio::time::sleep(self.list_pause().mul_f64(jitter)).await;
+            if self.member.known.borrow().registry.revision == 0 {
+                // Without a configuration the list is of no use; both come from control.
+                continue;
+            }
             let stale = u64::try_from(self.settings.list_stale.as_millis()).unwrap_or(u64::MAX);
             let age = self.fleet.lock().ok().and_then(|fleet| fleet.age(self.now()));
             if age.is_some_and(|age| age < stale) {
@@ -271,6 +279,13 @@
         }
     }
 
+    /// Time between two reads of the own list.
+    fn list_pause(&self) -> Duration {
+        let entries = self.member.known.borrow().roster.entries.len();
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        self.settings.list_retry * entries.div_ceil(self.settings.list_readers).max(1)
+    }
+
     async fn sweep(self: Arc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_TIME).await;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -75,9 +75,10 @@
     /// Returns what keeps it from starting: an address in use, a folder that cannot be
     /// opened.
     pub async fn start(settings: Settings) -> Result<Arc<Self>, Error> {
-        let listener = TcpListener::bind(&settings.address)
+        let listen = settings.listen.as_ref().unwrap_or(&settings.address);
+        let listener = TcpListener::bind(listen)
             .await
-            .map_err(|error| Error::new(format!("{}: {error}", settings.address)))?;
+            .map_err(|error| Error::new(format!("{listen}: {error}")))?;
         let fabric = Fabric::new(&settings.address);
         let times = leaders::Settings { call: CALL_TIME, pause: RETRY_PAUSE };
         let member = Arc::new(Self {
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -13,6 +13,8 @@
     pub role: Role,
     /// Its address for other instances.
     pub address: String,
+    /// Address to listen on for them, where it is another one, such as behind a proxy.
+    pub listen: Option<String>,
     /// Its failure domain.
     pub failure_domain: String,
     /// Addresses of some control instances.
@@ -41,6 +43,7 @@
             name: String::new(),
             role: Role::Entry,
             address: String::new(),
+            listen: None,
             failure_domain: String::new(),
             seeds: Vec::new(),
             is_first_start: false,
