feat(ctl): members, replicas and one request's story from running processes

Change: an entry remembers how its last 512 requests went and tells one by its id at /requests/ID, beside /metrics and /dump. buckthornctl member list, member status and request show read them from the processes that are named. One conversion to milliseconds instead of seven.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -32,6 +32,8 @@
     Dump(Dump),
     Call(Call),
     Status(Status),
+    Member(Member),
+    Request(Request),
 }
 
 /// Applies and shows change tickets.
@@ -235,3 +237,52 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct Status {}
+
+/// Looks at instances that find each other from seeds; --operators names the addresses of
+/// their metrics.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "member")]
+pub(crate) struct Member {
+    #[argh(subcommand)]
+    pub(crate) action: MemberAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum MemberAction {
+    List(MemberList),
+    Status(MemberStatus),
+}
+
+/// Lists the instances that a control instance hears.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub(crate) struct MemberList {}
+
+/// Shows configuration and replica of each process that is named.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct MemberStatus {}
+
+/// Looks at requests; --operators names the addresses of the entries' metrics.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "request")]
+pub(crate) struct Request {
+    #[argh(subcommand)]
+    pub(crate) action: RequestAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum RequestAction {
+    Show(RequestShow),
+}
+
+/// Shows how one of the last requests went.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct RequestShow {
+    /// its id
+    #[argh(positional)]
+    pub(crate) id: String,
+}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -64,6 +64,20 @@
         Err(Error::Silent(self.addresses.clone()))
     }
 
+    /// Sends a request to every instance; answers of those that gave one.
+    pub(crate) async fn send_all(&self, request: &Request) -> Result<Vec<Value>, Error> {
+        let mut answers = Vec::new();
+        for address in &self.addresses {
+            if let Some(result) = self.try_one(address, request).await {
+                answers.push(result?);
+            }
+        }
+        if answers.is_empty() {
+            return Err(Error::Silent(self.addresses.clone()));
+        }
+        Ok(answers)
+    }
+
     /// Answer of one instance; `None` if it gave none.
     async fn try_one(&self, address: &str, request: &Request) -> Option<Result<Value, Error>> {
         let url = format!("http://{address}{}", request.path);
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,11 +1,13 @@
 //! What each command does.
 
 use crate::arguments::{
-    Arguments, Command, ListAction, ProgramAction, QuarantineAction, TicketAction, TicketApply,
+    Arguments, Command, ListAction, MemberAction, ProgramAction, QuarantineAction, RequestAction,
+    TicketAction, TicketApply,
 };
 use crate::call;
 use crate::client::{Client, Request, read_token};
 use crate::error::Error;
+use crate::members;
 use crate::table::{Column, named_rows, render};
 use protocol::api;
 use reqwest::Method;
@@ -124,6 +126,19 @@
             Ok(if is_json { pretty(&answer) } else { content })
         }
         Command::Status(_) => list(&client, "/v1/status", is_json, &STATUS).await,
+        Command::Member(member) => match member.action {
+            MemberAction::List(_) => {
+                Ok(shown(is_json, &members::MEMBERS, members::members(&client).await?))
+            }
+            MemberAction::Status(_) => {
+                Ok(shown(is_json, &members::STATUS, members::status(&client).await?))
+            }
+        },
+        Command::Request(request) => {
+            let RequestAction::Show(show) = request.action;
+            let stories = members::story(&client, &show.id).await?;
+            Ok(shown(is_json, &members::STORIES, stories))
+        }
     }
 }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod commands;
 mod error;
+mod members;
 mod table;
 
 use arguments::Arguments;
--- a/crates/ctl/tests/main.rs
+++ b/crates/ctl/tests/main.rs
@@ -8,6 +8,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use transport::Node;
 
 /// Time for the instance to hold its lease.
@@ -94,3 +95,60 @@
     assert_eq!(silent.status.code(), Some(3), "{}", text(&silent));
     node.stop().await;
 }
+
+/// Answers each request like the inspection address of one process.
+async fn inspected(dump: serde_json::Value, told: serde_json::Value) -> String {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut head = [0; 4_096];
+            let count = stream.read(&mut head).await.unwrap();
+            let head = String::from_utf8_lossy(&head[..count]).into_owned();
+            let body = match head.split(' ').nth(1).unwrap() {
+                "/dump" => dump.to_string(),
+                "/requests/r7" => told.to_string(),
+                _ => "[]".to_owned(),
+            };
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn members_and_stories_come_from_the_processes_that_answer() {
+    let control = inspected(
+        serde_json::json!({
+            "name": "control-1", "role": "Control", "configuration": 41, "revision": 9,
+            "replica": { "leads": true, "votes": true, "term": 3, "commit": 77 },
+            "instances": [{ "name": "entry-5", "role": "Entry", "failure_domain": "b",
+                            "is_ready": true, "leads": false, "age_ms": 120 }],
+        }),
+        serde_json::json!([]),
+    )
+    .await;
+    let entry = inspected(
+        serde_json::json!({ "name": "entry-5", "role": "Entry", "instances": [] }),
+        serde_json::json!([{ "id": "r7", "route": "turns", "status": 503, "outcome": "Overloaded" }]),
+    )
+    .await;
+    let all = format!("127.0.0.1:1,{entry},{control}");
+    let cases: [(&str, &[&str], i32, &[&str]); 6] = [
+        (&all, &["member", "status"], 0, &["control-1", "41", "77", "entry-5"]),
+        (&all, &["member", "list"], 0, &["entry-5", "120", "yes"]),
+        (&entry, &["member", "list"], 2, &["no control instance"]),
+        (&all, &["request", "show", "r7"], 0, &["turns", "503", "Overloaded"]),
+        (&all, &["request", "show", "r8"], 2, &["r8", "logs"]),
+        ("127.0.0.1:1", &["member", "status"], 3, &["no instance answered"]),
+    ];
+    for (operators, words, code, parts) in cases {
+        let output = run(operators, words).await;
+        assert_eq!(output.status.code(), Some(code), "{words:?}: {}", text(&output));
+        for part in parts {
+            assert!(text(&output).contains(part), "{words:?}, {part}: {}", text(&output));
+        }
+    }
+}
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -1,7 +1,7 @@
 //! The process's clock.
 
 use coordination::Millis;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A monotonic clock with its offset to the Unix epoch.
 #[derive(Debug, Clone, Copy)]
@@ -17,7 +17,7 @@
 
     /// Time since the process started.
     pub(crate) fn now(&self) -> Millis {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(Millis::MAX)
+        millis(self.start.elapsed())
     }
 
     /// Time since the Unix epoch at the start of the process, in milliseconds.
@@ -34,5 +34,10 @@
 /// Time of day, in milliseconds since the Unix epoch; it may jump.
 pub(crate) fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    millis(since_epoch)
+}
+
+/// Whole milliseconds of a time.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -1,10 +1,12 @@
 //! The gateway of one instance and its background tasks.
 
+use crate::clock::millis;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::list::List;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::pool::Pool;
 use crate::gateway::server;
+use crate::gateway::stories::{Stories, Told};
 use crate::member::Member;
 use crate::member::servers::Held;
 use crate::node::Error;
@@ -77,6 +79,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
+    pub(crate) stories: Stories,
     pub(crate) under_way: AtomicUsize,
     pub(crate) retries: Mutex<Budget>,
     /// Whether the program journal did not answer the last time.
@@ -112,6 +115,7 @@
             fleet: Mutex::new(fleet),
             pool: Pool::default(),
             metrics: Metrics::new(),
+            stories: Stories::default(),
             under_way: AtomicUsize::new(0),
             retries: Mutex::default(),
             is_journal_lost: AtomicBool::new(false),
@@ -157,6 +161,11 @@
         self.metrics.render()
     }
 
+    /// How one of the last requests went.
+    pub fn story(&self, id: &str) -> Vec<Told> {
+        self.stories.find(id)
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         let is_listed = self.fleet.lock().is_ok_and(|fleet| fleet.age(self.now()).is_some());
@@ -227,7 +236,7 @@
     }
 
     fn take_list(&self, held: &Held) {
-        let age = u64::try_from(held.read.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let age = millis(held.read.elapsed());
         let read = self.now().saturating_sub(age);
         if let Ok(mut fleet) = self.fleet.lock() {
             let digest = self.list_digest.swap(held.digest, Ordering::Relaxed);
@@ -253,7 +262,7 @@
                 // Without a configuration the list is of no use; both come from control.
                 continue;
             }
-            let stale = u64::try_from(self.settings.list_stale.as_millis()).unwrap_or(u64::MAX);
+            let stale = millis(self.settings.list_stale);
             let age = self.fleet.lock().ok().and_then(|fleet| fleet.age(self.now()));
             if age.is_some_and(|age| age < stale) {
                 continue;
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -1,5 +1,6 @@
 //! The way of one request.
 
+use crate::clock::millis;
 use crate::gateway::attempt::Attempt;
 use crate::gateway::dialect::{Ask, Refusal};
 use crate::gateway::entry::Entry;
@@ -273,10 +274,6 @@
     }
 }
 
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn tokens_per_event(table: &Table, service: &str) -> u64 {
     table.service(service).map_or(0, |service| service.tokens_per_event)
 }
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -17,8 +17,10 @@
 mod relay;
 mod sending;
 mod server;
+mod stories;
 mod turns;
 
 pub use dialect::{Ask, Budget, Dialect, Dispatch, Refusal, Verdict};
 pub use entry::{Entry, Settings};
 pub use list::{List, ListError, Listing};
+pub use stories::Told;
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -1,8 +1,10 @@
 //! The body of an answer, passed on as it arrives.
 
+use crate::clock::{self, millis};
 use crate::gateway::attempt::Attempt;
 use crate::gateway::entry::Entry;
 use crate::gateway::events::Events;
+use crate::gateway::stories::Told;
 use crate::gateway::turns::Turn;
 use crate::journal::Unreachable;
 use bytes::Bytes;
@@ -208,7 +210,7 @@
         if let Some(events) = &self.events {
             content.extend_from_slice(&events.content);
         }
-        let keep_ms = u64::try_from(keep.retention.as_millis()).unwrap_or(u64::MAX);
+        let keep_ms = millis(keep.retention);
         let record = Record { previous: keep.previous, content, keep_ms };
         let left = self.until.saturating_duration_since(Instant::now());
         self.keeping = Some(Box::pin(turn.keep(record, left)));
@@ -264,7 +266,20 @@
     /// One line for the end of a request.
     pub(crate) fn tell(&self, outcome: &str, status: u16, server: Option<&str>, events: u64) {
         self.entry.metrics.request(outcome);
-        let ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let ms = millis(self.started.elapsed());
+        self.entry.stories.note(Told {
+            id: self.id.clone(),
+            ended_ms: clock::unix_ms(),
+            route: self.route.clone(),
+            version: self.version,
+            attempts: self.attempts,
+            server: server.map(str::to_owned),
+            status,
+            events,
+            ms,
+            list_age_ms: self.list_age_ms,
+            outcome: outcome.to_owned(),
+        });
         tracing::info!(
             request = self.id,
             route = self.route,
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -3,9 +3,10 @@
 //! What has not run may go to another server, within the route's number of attempts. What
 //! may have run goes there only if it may be repeated.
 
+use crate::clock::millis;
 use crate::gateway::attempt::Attempt;
 use crate::gateway::dialect::{Ask, Dispatch, Refusal, Verdict};
-use crate::gateway::flow::{Fault, RETRY_LATER, Way, millis};
+use crate::gateway::flow::{Fault, RETRY_LATER, Way};
 use crate::gateway::headers;
 use crate::gateway::pool::Failure;
 use bytes::Bytes;
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -4,6 +4,7 @@
 //! answers to their beats. Entries say what they have outstanding and hear the sum of what
 //! the others have.
 
+use crate::clock::millis;
 use crate::gateway::List;
 use crate::member::node::Member;
 use coordination::placement::Listed;
@@ -48,7 +49,7 @@
 
     /// The list for an instance that knows the one of `digest`.
     pub(crate) fn relay(&self, digest: u64) -> Relayed {
-        let age_ms = u64::try_from(self.read.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let age_ms = millis(self.read.elapsed());
         let is_known = self.digest == digest;
         let servers = (!is_known).then(|| self.servers.as_ref().clone());
         Relayed { digest: self.digest, age_ms, servers }
