fix(member): founding with fewer instances; differences of the list; reads at the allowed rate

Ruled out: entries keeping a draining server (it is never chosen). Control instances relay the difference from a list that the receiver has. An entry reads the list itself only if none is relayed, or after three times as long. Tests: a_journal_is_founded_with_fewer_replicas_where_no_more_are_there, a_difference_leads_from_any_list_to_any_other, a_difference_names_only_what_changed_and_needs_its_base.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -181,6 +181,13 @@
     }
 }
 
+/// Replicas to found a journal with where only `present` instances are there: the largest odd
+/// number, since an even one bears no more losses. Others join as they come.
+pub fn fewer(target: usize, present: usize) -> usize {
+    let most = target.min(present);
+    if most.is_multiple_of(2) { most.saturating_sub(1).max(1) } else { most }
+}
+
 /// Chooses the first replicas among `present`, spread over failure domains; `None` while too
 /// few are present.
 pub fn founders(target: usize, present: &[Candidate]) -> Option<Vec<Candidate>> {
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -153,6 +153,16 @@
     assert_eq!(journal.run(5_000, &all), [1, 2, 3]);
 }
 
+#[test]
+fn a_journal_is_founded_with_fewer_replicas_where_no_more_are_there() {
+    let cases = [(5, 0, 1), (5, 1, 1), (5, 2, 1), (5, 3, 3), (5, 4, 3), (5, 7, 5), (3, 2, 1)];
+    for (target, present, fewer) in cases {
+        assert_eq!(membership::fewer(target, present), fewer, "{target} of {present}");
+    }
+    assert_eq!(founders(membership::fewer(5, 0), &[]), None);
+    assert_eq!(founders(membership::fewer(5, 4), &present(&[1, 2, 3, 4])).unwrap().len(), 3);
+}
+
 #[test]
 fn founders_are_spread_over_failure_domains() {
     let mut all = present(&[1, 4, 7, 2, 3]);
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -8,6 +8,7 @@
 use coordination::membership::Candidate;
 use coordination::placement::Listed;
 use serde::{Deserialize, Serialize};
+use state::collections::{Map, Set};
 use state::registry::Registry;
 
 /// What an instance is for.
@@ -58,8 +59,57 @@
     pub digest: u64,
     /// Time since it was read, in milliseconds.
     pub age_ms: u64,
-    /// The list, unless the receiver has the one of this digest.
-    pub servers: Option<Vec<Listed>>,
+    /// What the receiver lacks of the list, unless it has the one of this digest.
+    pub servers: Option<Servers>,
+}
+
+/// A list of backend servers, or what leads to it from an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Servers {
+    /// All of it.
+    Whole(Vec<Listed>),
+    /// The difference from the list of a digest.
+    Since {
+        /// Digest of the earlier list.
+        base: u64,
+        /// Ids of servers that are gone.
+        gone: Vec<String>,
+        /// Servers that are new or changed.
+        put: Vec<Listed>,
+    },
+}
+
+impl Servers {
+    /// The difference from `old`, which has the digest `base`, to `new`.
+    pub fn since(base: u64, old: &[Listed], new: &[Listed]) -> Self {
+        let known: Map<&str, &Listed> = old.iter().map(|s| (s.id.as_str(), s)).collect();
+        let kept: Set<&str> = new.iter().map(|server| server.id.as_str()).collect();
+        let gone = old.iter().filter(|server| !kept.contains(server.id.as_str()));
+        let put = new.iter().filter(|server| known.get(server.id.as_str()) != Some(server));
+        Self::Since {
+            base,
+            gone: gone.map(|server| server.id.clone()).collect(),
+            put: put.cloned().collect(),
+        }
+    }
+
+    /// The list that follows from `held`, the receiver's one with its digest; `None` if the
+    /// difference is from another.
+    pub fn apply(self, held: Option<(u64, &[Listed])>) -> Option<Vec<Listed>> {
+        match self {
+            Self::Whole(servers) => Some(servers),
+            Self::Since { base, gone, put } => {
+                let (_, servers) = held.filter(|(digest, _)| *digest == base)?;
+                let out: Set<&str> = gone
+                    .iter()
+                    .map(String::as_str)
+                    .chain(put.iter().map(|s| s.id.as_str()))
+                    .collect();
+                let kept = servers.iter().filter(|server| !out.contains(server.id.as_str()));
+                Some(kept.cloned().chain(put.iter().cloned()).collect())
+            }
+        }
+    }
 }
 
 /// Ready entries, for callers that ask which to use.
--- /dev/null
+++ b/crates/protocol/tests/presence.rs
@@ -0,0 +1,62 @@
+//! What is relayed to instances.
+
+use coordination::placement::Listed;
+use protocol::presence::{Roster, Servers};
+
+fn listed(id: u32, is_draining: bool) -> Listed {
+    Listed {
+        id: format!("s{id}"),
+        service: "model".into(),
+        address: format!("10.0.0.{id}:80"),
+        failure_domain: "a".into(),
+        slots: 4,
+        is_draining,
+    }
+}
+
+fn sorted(mut servers: Vec<Listed>) -> Vec<Listed> {
+    servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+    servers
+}
+
+#[test]
+fn a_difference_leads_from_any_list_to_any_other() {
+    let lists = [
+        vec![],
+        vec![listed(1, false), listed(2, false), listed(3, false)],
+        vec![listed(1, false), listed(2, true), listed(4, false)],
+        vec![listed(9, false)],
+    ];
+    for old in &lists {
+        for new in &lists {
+            let difference = Servers::since(7, old, new);
+            let taken = difference.apply(Some((7, old.as_slice()))).unwrap();
+            assert_eq!(sorted(taken), *new, "from {old:?}");
+        }
+    }
+}
+
+#[test]
+fn a_difference_names_only_what_changed_and_needs_its_base() {
+    let old: Vec<Listed> = (0..100).map(|id| listed(id, false)).collect();
+    let mut new = old.clone();
+    new[5].is_draining = true;
+    new.remove(9);
+    let difference = Servers::since(7, &old, &new);
+    let Servers::Since { gone, put, .. } = &difference else {
+        panic!("{difference:?}");
+    };
+    assert_eq!((gone.as_slice(), put.as_slice()), (&["s9".to_owned()][..], &[listed(5, true)][..]));
+    assert_eq!(difference.clone().apply(Some((8, old.as_slice()))), None);
+    assert_eq!(difference.apply(None), None);
+}
+
+#[test]
+fn callers_get_the_entries_of_their_failure_domain_if_there_are_two() {
+    let entry = |domain: &str, address: &str| (domain.to_owned(), address.to_owned());
+    let entries = vec![entry("a", "a1"), entry("b", "b1"), entry("a", "a2")];
+    let roster = Roster { digest: 1, entries };
+    assert_eq!(roster.near("a"), ["a1", "a2"]);
+    assert_eq!(roster.near("b"), ["a1", "b1", "a2"]);
+    assert_eq!(roster.near("elsewhere"), ["a1", "b1", "a2"]);
+}
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -68,6 +68,9 @@
 /// beats long.
 const CONTROL_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Times the usual age up to which a list is used without reading it, while one is relayed.
+const RELAYED_PATIENCE: u32 = 3;
+
 /// Time between two sweeps of idle connections.
 const SWEEP_TIME: Duration = Duration::from_secs(1);
 
@@ -258,13 +261,7 @@
             // Instances that lack the list together must not read it at the same moment.
             let jitter = rand::rng().random_range(0.8..1.2);
             tokio::time::sleep(self.list_pause().mul_f64(jitter)).await;
-            if self.member.known.borrow().registry.revision == 0 {
-                // Without a configuration the list is of no use; both come from control.
-                continue;
-            }
-            let stale = millis(self.settings.list_stale);
-            let age = self.fleet.lock().ok().and_then(|fleet| fleet.age(self.now()));
-            if age.is_some_and(|age| age < stale) {
+            if !self.needs_own_list() {
                 continue;
             }
             let read = Instant::now();
@@ -274,9 +271,7 @@
                     if std::mem::take(&mut is_lost) {
                         tracing::info!(count = servers.len(), "list of backend servers regained");
                     }
-                    self.member.servers.send_modify(|known| {
-                        known.list = Some(Held::new(servers, read));
-                    });
+                    self.member.servers.send_modify(|known| known.set(Held::new(servers, read)));
                 }
                 Err(error) => {
                     self.metrics.list_read("failed");
@@ -288,6 +283,20 @@
         }
     }
 
+    /// Whether the relayed list is too old; while a control instance relays one, that is for
+    /// the platform's slowness, which a further reader would only add to.
+    fn needs_own_list(&self) -> bool {
+        if self.member.known.borrow().registry.revision == 0 {
+            // Without a configuration the list is of no use; both come from control.
+            return false;
+        }
+        let age = self.fleet.lock().ok().and_then(|fleet| fleet.age(self.now()));
+        let relayed = self.member.servers.borrow().relayed;
+        let is_relayed = relayed.is_some_and(|at| at.elapsed() < CONTROL_SILENCE);
+        let factor = if is_relayed { RELAYED_PATIENCE } else { 1 };
+        age.is_none_or(|age| age >= millis(self.settings.list_stale * factor))
+    }
+
     /// Time between two reads of the own list.
     fn list_pause(&self) -> Duration {
         let entries = self.member.known.borrow().roster.entries.len();
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -28,6 +28,10 @@
 /// in which a replica must be back at full strength.
 const CONTROL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for which the control leader waits for as many instances as a journal should have;
+/// all start within a moment of each other, and a beat says so.
+const FOUNDING_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Time for one replica to answer a request for the leader: a commit with two slow syncs.
 const CALL_TIME: Duration = Duration::from_millis(350);
 
@@ -263,6 +267,7 @@
 
     /// What the control leader does: it plans the own journal and founds the others.
     async fn lead_control(self: Arc<Self>, handle: Handle) {
+        let mut waiting = None;
         loop {
             tokio::time::sleep(CONTROL_PAUSE).await;
             if !handle.leads() {
@@ -280,7 +285,13 @@
             if registry.founders.contains_key(&PROGRAMS) {
                 continue;
             }
-            if let Some(chosen) = membership::founders(self.settings.replicas(), &programs) {
+            let since: &Instant = waiting.get_or_insert_with(Instant::now);
+            let wanted = self.settings.replicas();
+            let target = match since.elapsed() < FOUNDING_PATIENCE {
+                true => wanted,
+                false => membership::fewer(wanted, programs.len()),
+            };
+            if let Some(chosen) = membership::founders(target, &programs) {
                 self.found(&handle, &chosen).await;
             }
         }
@@ -302,8 +313,14 @@
         let registry = self.known.borrow().registry.clone();
         let (name, role, revision) = (beat.name.clone(), beat.role, beat.revision);
         let (wants_relay, roster) = (beat.wants_relay, beat.roster);
-        let held = self.servers.borrow().list.clone().filter(|_| role != Role::Programs);
-        let list = held.as_ref().filter(|_| wants_relay).map(|held| held.relay(beat.list));
+        let is_relayed = wants_relay && role != Role::Programs;
+        let (held, list) = match is_relayed {
+            true => {
+                let known = self.servers.borrow();
+                (known.list.clone(), known.relay(beat.list))
+            }
+            false => (None, None),
+        };
         let Ok(mut register) = self.register.lock() else {
             return Response::Unknown;
         };
@@ -320,8 +337,8 @@
             Role::Programs => register.candidates(Role::Programs, &registry),
             Role::Entry | Role::Control => Vec::new(),
         };
-        let is_relayed_to = role == Role::Entry && wants_relay;
-        let servers = held.filter(|_| is_relayed_to).map(|held| held.servers);
+        let serves_callers = is_relayed && role == Role::Entry;
+        let servers = held.filter(|_| serves_callers).map(|held| held.servers);
         let report = Report {
             registry: (revision < registry.revision).then(|| Registry::clone(&registry)),
             control: register.addresses(Role::Control),
@@ -331,7 +348,7 @@
             revision: registry.revision,
             list,
             loads: servers.map(|list| register.loads(&name, &list)).unwrap_or_default(),
-            roster: if is_relayed_to { register.roster(roster) } else { None },
+            roster: if serves_callers { register.roster(roster) } else { None },
         };
         Response::Report(Box::new(report))
     }
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -8,7 +8,8 @@
 use crate::gateway::List;
 use crate::member::node::Member;
 use coordination::placement::Listed;
-use protocol::presence::Relayed;
+use protocol::presence::{Relayed, Servers};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -17,6 +18,13 @@
 /// reaches entries well within the seconds that a leaving server is used at most.
 const READ_PAUSE: Duration = Duration::from_millis(700);
 
+/// Shortest pause between two reads: a list of many pages takes longer than [`READ_PAUSE`].
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Earlier lists that a control instance can tell the difference from; a few seconds in
+/// which servers come and go.
+const HISTORY: usize = 16;
+
 /// Pause between two looks of a control instance at whether it leads.
 const LEAD_PAUSE: Duration = Duration::from_millis(200);
 
@@ -32,6 +40,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Known {
     pub(crate) list: Option<Held>,
+    /// Lists before it, the newest last.
+    earlier: VecDeque<Held>,
     /// Requests that the other entries have outstanding.
     pub(crate) loads: Arc<Vec<(String, u32)>>,
     /// When a control instance relayed something.
@@ -46,17 +56,32 @@
         servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         Self { digest: digest(&servers), read, servers: Arc::new(servers) }
     }
+}
+
+impl Known {
+    /// Takes a list that was read.
+    pub(crate) fn set(&mut self, held: Held) {
+        let old = self.list.replace(held);
+        let is_new = old.as_ref().map(|old| old.digest) != self.list.as_ref().map(|h| h.digest);
+        if let Some(old) = old.filter(|_| is_new) {
+            if self.earlier.len() == HISTORY {
+                self.earlier.pop_front();
+            }
+            self.earlier.push_back(old);
+        }
+    }
 
     /// The list for an instance that knows the one of `digest`.
-    pub(crate) fn relay(&self, digest: u64) -> Relayed {
-        let age_ms = millis(self.read.elapsed());
-        let is_known = self.digest == digest;
-        let servers = (!is_known).then(|| self.servers.as_ref().clone());
-        Relayed { digest: self.digest, age_ms, servers }
+    pub(crate) fn relay(&self, digest: u64) -> Option<Relayed> {
+        let held = self.list.as_ref()?;
+        let servers = || match self.earlier.iter().rev().find(|old| old.digest == digest) {
+            Some(old) => Servers::since(digest, &old.servers, &held.servers),
+            None => Servers::Whole(held.servers.as_ref().clone()),
+        };
+        let servers = (held.digest != digest).then(servers);
+        Some(Relayed { digest: held.digest, age_ms: millis(held.read.elapsed()), servers })
     }
-}
 
-impl Known {
     /// Takes what the others have outstanding on the servers of the list of `digest`.
     pub(crate) fn share(&mut self, digest: u64, loads: &[u32]) {
         if let Some(held) = self.list.as_ref().filter(|held| held.digest == digest) {
@@ -74,10 +99,21 @@
         if self.list.as_ref().is_some_and(|held| held.read >= read) {
             return;
         }
-        match (relayed.servers, &mut self.list) {
-            (Some(servers), list) => *list = Some(Held::new(servers, read)),
-            (None, Some(held)) if held.digest == relayed.digest => held.read = read,
-            (None, _) => {}
+        let Some(servers) = relayed.servers else {
+            if let Some(held) = self.list.as_mut().filter(|held| held.digest == relayed.digest) {
+                held.read = read;
+            }
+            return;
+        };
+        let own = self.list.as_ref().map(|held| (held.digest, held.servers.as_slice()));
+        let taken = servers.apply(own).map(|servers| Held::new(servers, read));
+        match taken.filter(|held| held.digest == relayed.digest) {
+            Some(held) => self.set(held),
+            // The next answer brings the whole list.
+            None => {
+                tracing::warn!(digest = relayed.digest, "relayed list does not fit the own one");
+                self.list = None;
+            }
         }
     }
 }
@@ -106,7 +142,7 @@
                     if std::mem::take(&mut is_lost) {
                         tracing::info!("list of backend servers regained");
                     }
-                    self.servers.send_modify(|known| known.list = Some(Held::new(servers, read)));
+                    self.servers.send_modify(|known| known.set(Held::new(servers, read)));
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut is_lost, true) {
@@ -114,7 +150,7 @@
                     }
                 }
             }
-            tokio::time::sleep(READ_PAUSE).await;
+            tokio::time::sleep(READ_PAUSE.saturating_sub(read.elapsed()).max(LEAST_PAUSE)).await;
         }
     }
 
