fix(gateway): a slow answer is waited for where no other server has room

Change: an attempt is given up for another server only if one has room that was not tried; a request waits up to 0.3 of its time for a server that may be chosen.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -256,6 +256,13 @@
         ids.into_iter().flatten().any(|id| self.servers.get(id).is_some_and(|s| s.is_open(now)))
     }
 
+    /// Whether a service has a server with room that has not been tried.
+    pub fn has_room(&self, now: Millis, service: &str, tried: &[String]) -> bool {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        let mut untried = ids.filter(|id| !tried.contains(id)).filter_map(|id| self.get(id));
+        untried.any(|server| server.is_open(now) && server.load() < server.listed.slots)
+    }
+
     /// Chooses a server; the caller reports its use with [`Fleet::begin`].
     pub fn choose(&self, now: Millis, wish: &Wish<'_>) -> Option<&Listed> {
         let ids = self.by_service.get(wish.service)?;
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -25,6 +25,10 @@
 /// Pause between two looks for a server with room; a few steps of an engine.
 const SERVER_PAUSE: Duration = Duration::from_millis(15);
 
+/// Longest wait for a server that may be chosen, as a share of the time left: one that is full
+/// is tried again after some steps, and a call that is refused twice ends its program.
+const PLACE_SHARE: f64 = 0.3;
+
 /// Time for one server to answer a request that may be repeated, in objectives: a slow but
 /// useful answer still comes, and there is time for a second server.
 const PATIENCE: f64 = 1.2;
@@ -78,8 +82,8 @@
         let mut detours = 0;
         loop {
             let server = self.choose(send, &tried).await?;
-            let id = server.id.clone();
-            match self.attempt(send, server).await {
+            tried.push(server.id.clone());
+            match self.attempt(send, server, &tried).await {
                 Tried::Answered(answered) => return Ok(*answered),
                 Tried::NotReached if detours < DETOURS => detours += 1,
                 Tried::NotReached => {
@@ -104,7 +108,6 @@
                     return Err(Refusal::new(Kind::Unknown, detail).into());
                 }
             }
-            tried.push(id);
         }
     }
 
@@ -121,8 +124,8 @@
         let session = send.ask.program.as_deref().or(send.ask.session.as_deref());
         let session = session.filter(|_| send.route.is_sticky);
         let wish = Wish { service: send.service, session, holder: send.holder, tried };
-        let patience = send.route.objective.mul_f64(0.2);
-        let until = (Instant::now() + patience).min(send.until);
+        let left = send.until.saturating_duration_since(Instant::now());
+        let until = Instant::now() + left.mul_f64(PLACE_SHARE);
         loop {
             let now = self.entry.now();
             if let Ok(fleet) = self.entry.fleet.lock() {
@@ -139,7 +142,7 @@
         }
     }
 
-    async fn attempt(&self, send: &Sending<'_>, server: Listed) -> Tried {
+    async fn attempt(&self, send: &Sending<'_>, server: Listed, tried: &[String]) -> Tried {
         let (id, address) = (server.id.clone(), server.address.clone());
         let mut attempt = Attempt::new(&self.entry, server);
         loop {
@@ -169,7 +172,7 @@
                 list_age_ms = self.story.list_age_ms,
                 "request sent"
             );
-            let sent = self.wait(send, connection.send(request), left).await;
+            let sent = self.wait(send, connection.send(request), left, tried).await;
             let response = match sent {
                 Ok(Ok(response)) => response,
                 Ok(Err(Failure::NotSent)) if !is_new => continue,
@@ -191,12 +194,13 @@
     }
 
     /// Waits for an answer; a request that may be repeated waits less for its first servers,
-    /// as long as the budget for retries lasts.
+    /// as long as another has room and the budget for retries lasts.
     async fn wait<T>(
         &self,
         send: &Sending<'_>,
         answer: impl Future<Output = T>,
         left: Duration,
+        tried: &[String],
     ) -> Result<T, Elapsed> {
         let may_repeat = send.route.repeat == Repeat::Always
             && self.story.attempts + 1 < send.route.max_attempts;
@@ -206,7 +210,10 @@
             if let Ok(answer) = tokio::time::timeout(patience, &mut answer).await {
                 return Ok(answer);
             }
-            if self.entry.retries.lock().is_ok_and(|mut budget| budget.withdraw()) {
+            let now = self.entry.now();
+            let fleet = self.entry.fleet.lock();
+            let has_room = fleet.is_ok_and(|fleet| fleet.has_room(now, send.service, tried));
+            if has_room && self.entry.retries.lock().is_ok_and(|mut budget| budget.withdraw()) {
                 return Err(Elapsed::Patience);
             }
         }
