fix(member): a fresh list of backend servers is relayed, or read, whoever leads

One that is cut off from the others, or has lost the leader, goes on relaying what it has. Ruled out: choosing a draining server (never done), the new bounds of placement. Change: an entry asks another control instance once the list is 1.1 s old (and 1 ms a server, the time to read it); a control instance that hears of no fresh list reads it itself; control instances relay to each other all they have; an entry reads at 1.6 s again.

--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -54,7 +54,7 @@
             placement: placement::Settings::default(),
             list_stale: Duration::from_millis(1_600),
             list_retry: Duration::from_millis(250),
-            list_readers: 4,
+            list_readers: 8,
             keep: Duration::from_millis(3_200),
             drain: Duration::from_millis(4_000),
         }
@@ -68,9 +68,6 @@
 /// beats long.
 const CONTROL_SILENCE: Duration = Duration::from_millis(1_000);
 
-/// Times the usual age up to which a list is used without reading it, while one is relayed.
-const RELAYED_PATIENCE: u32 = 3;
-
 /// Time between two sweeps of idle connections.
 const SWEEP_TIME: Duration = Duration::from_secs(1);
 
@@ -283,18 +280,14 @@
         }
     }
 
-    /// Whether the relayed list is too old; while a control instance relays one, that is for
-    /// the platform's slowness, which a further reader would only add to.
+    /// Whether no control instance relays a list that is fresh enough.
     fn needs_own_list(&self) -> bool {
         if self.member.known.borrow().registry.revision == 0 {
             // Without a configuration the list is of no use; both come from control.
             return false;
         }
-        let age = self.fleet.lock().ok().and_then(|fleet| fleet.age(self.now()));
-        let relayed = self.member.servers.borrow().relayed;
-        let is_relayed = relayed.is_some_and(|at| at.elapsed() < CONTROL_SILENCE);
-        let factor = if is_relayed { RELAYED_PATIENCE } else { 1 };
-        age.is_none_or(|age| age >= millis(self.settings.list_stale * factor))
+        let known = self.member.servers.borrow();
+        known.age().is_none_or(|age| age >= self.settings.list_stale + known.read_time())
     }
 
     /// Time between two reads of the own list.
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -3,7 +3,7 @@
 use crate::member::node::Member;
 use crate::member::seat::{CONTROL, PROGRAMS};
 use coordination::routing;
-use protocol::presence::{Beat, Held, Report};
+use protocol::presence::{Beat, Held, Report, Role};
 use protocol::wire::{Request, Response};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,7 +28,8 @@
         let relay = source.choose(&member, &addresses);
         for address in addresses {
             let (member, mut beat) = (member.clone(), beat.clone());
-            beat.wants_relay = Some(&address) == relay.as_ref();
+            // Control instances are few, and entries depend on what each of them has.
+            beat.wants_relay = beat.role == Role::Control || Some(&address) == relay.as_ref();
             tokio::spawn(async move {
                 let request = Request::Beat(Box::new(beat));
                 let answer = member.fabric.call(&address, &request, BEAT_TIMEOUT).await;
@@ -54,11 +55,16 @@
 }
 
 impl Source {
-    /// Keeps to one instance for as long as it answers.
+    /// Keeps to one instance for as long as it answers with a fresh list.
     fn choose(&mut self, member: &Member, addresses: &[String]) -> Option<String> {
         let patience = member.settings.beat * RELAY_PATIENCE;
-        let relayed = member.servers.borrow().relayed.max(self.chosen);
-        let is_silent = relayed.is_none_or(|at| at.elapsed() > patience);
+        let (relayed, is_stale) = {
+            let known = member.servers.borrow();
+            (known.relayed, known.is_stale())
+        };
+        // A new source gets the same time to answer.
+        let heard = if is_stale { self.chosen } else { relayed.max(self.chosen) };
+        let is_silent = heard.is_none_or(|at| at.elapsed() > patience);
         let is_listed = self.address.as_ref().is_some_and(|held| addresses.contains(held));
         if is_silent || !is_listed {
             // Instances spread over the sources by their names, and go round from there.
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -21,6 +21,13 @@
 /// Shortest pause between two reads: a list of many pages takes longer than [`READ_PAUSE`].
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Age of the list at which a control instance that does not lead reads it itself, and at
+/// which an entry asks another control instance: the time between two reads and two beats.
+const STALE: Duration = Duration::from_millis(1_100);
+
+/// Time to read the list, for each server: pages of 50 at 44 calls a second, twice.
+const READ_TIME_PER_SERVER: Duration = Duration::from_millis(1);
+
 /// Earlier lists that a control instance can tell the difference from; a few seconds in
 /// which servers come and go.
 const HISTORY: usize = 16;
@@ -59,6 +66,22 @@
 }
 
 impl Known {
+    /// Age of the list.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.list.as_ref().map(|held| held.read.elapsed())
+    }
+
+    /// Time that a read of so long a list may take.
+    pub(crate) fn read_time(&self) -> Duration {
+        let servers = self.list.as_ref().map_or(0, |held| held.servers.len());
+        READ_TIME_PER_SERVER * u32::try_from(servers).unwrap_or(u32::MAX)
+    }
+
+    /// Whether the list is so old that whoever relays it may be cut off.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.age().is_none_or(|age| age > STALE + self.read_time())
+    }
+
     /// Takes a list that was read.
     pub(crate) fn set(&mut self, held: Held) {
         let old = self.list.replace(held);
@@ -128,11 +151,13 @@
 }
 
 impl Member {
-    /// Reads the platform's list while this control instance leads.
+    /// Reads the platform's list while this control instance leads, or hears of no fresh one:
+    /// entries that it alone reaches depend on it.
     pub async fn read_list(self: Arc<Self>, list: Arc<dyn List>) {
         let mut is_lost = false;
         loop {
-            if !self.handle().is_some_and(|handle| handle.leads()) {
+            let leads = self.handle().is_some_and(|handle| handle.leads());
+            if !leads && !self.servers.borrow().is_stale() {
                 tokio::time::sleep(LEAD_PAUSE).await;
                 continue;
             }
