refactor: one piece of code where the change had two

Cause: reading the whole change again: consensus messages were delivered alike by member::node and peers; two readers of the list of backend servers had the same log lines; the digest of some bytes stood in four places; two machines repeated the same empty prune and import; Fleet::has_open had no caller left. Change: links::serve_journal delivers consensus messages, too; Member::take_listing reads the list for both; routing::digest serves score, founder_id, the roster and the list; Machine has the two defaults. Behaviour stays as it is, but that the control instance's 'regained' line has the count that the entry's had.

--- a/crates/coordination/src/consensus/repair.rs
+++ b/crates/coordination/src/consensus/repair.rs
@@ -8,6 +8,7 @@
 
 use crate::consensus::log::Members;
 use crate::consensus::replica::{Id, Replica};
+use crate::routing;
 use serde::{Deserialize, Serialize};
 
 /// What a peer says of its own replica of a journal.
@@ -47,10 +48,7 @@
 
 /// Identity of a founder's first data folder.
 pub fn founder_id(instance: &str) -> Id {
-    let hash = blake3::hash(instance.as_bytes());
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    Id::from_le_bytes(word)
+    routing::digest(instance.as_bytes())
 }
 
 /// Replacement of an instance's lost replica, driven by the leader.
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -195,7 +195,7 @@
             let server = match old.filter(|old| old.listed.address == listed.address) {
                 Some(old) => Server { listed, ..old },
                 None => Server {
-                    digest: routing::digest(&listed.id),
+                    digest: routing::digest(listed.id.as_bytes()),
                     listed,
                     outstanding: 0,
                     others: 0,
@@ -250,12 +250,6 @@
         self.servers.values()
     }
 
-    /// Whether a service has a server that may be chosen.
-    pub fn has_open(&self, now: Millis, service: &str) -> bool {
-        let ids = self.by_service.get(service);
-        ids.into_iter().flatten().any(|id| self.servers.get(id).is_some_and(|s| s.is_open(now)))
-    }
-
     /// Whether a service has a server with room that has not been tried.
     pub fn has_room(&self, now: Millis, service: &str, tried: &[String]) -> bool {
         let ids = self.by_service.get(service).into_iter().flatten();
@@ -293,10 +287,10 @@
     /// The best of servers that are equally near.
     fn best<'a>(&self, pool: &[&'a Server], session: Option<&str>) -> Option<&'a Server> {
         let Some(session) = session else {
-            let key = routing::digest(&self.failure_domain);
+            let key = routing::digest(self.failure_domain.as_bytes());
             return pool.iter().copied().min_by_key(|s| (s.load(), routing::mix(key, s.digest)));
         };
-        let key = routing::digest(session);
+        let key = routing::digest(session.as_bytes());
         let mut two = [None; 2];
         for server in pool.iter().copied() {
             let scored = Some((routing::mix(key, server.digest), server));
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -8,19 +8,16 @@
 
 /// Score of `node` for `key`; the highest wins.
 pub fn score(key: &str, node: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(key.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(node.as_bytes());
-    let mut word = [0; 8];
-    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(word)
+    let mut both = key.as_bytes().to_vec();
+    both.push(0);
+    both.extend_from_slice(node.as_bytes());
+    digest(&both)
 }
 
-/// Number that stands for a name in [`mix`].
-pub fn digest(name: &str) -> u64 {
+/// Even number that stands for some bytes.
+pub fn digest(bytes: &[u8]) -> u64 {
     let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+    word.copy_from_slice(&blake3::hash(bytes).as_bytes()[..8]);
     u64::from_le_bytes(word)
 }
 
--- a/crates/state/src/control/machine.rs
+++ b/crates/state/src/control/machine.rs
@@ -347,23 +347,15 @@
         machine::encode(self)
     }
 
-    fn prune(&mut self) -> Result<(), Storage> {
-        Ok(())
-    }
-
     fn load(&mut self, saved: &[u8]) -> Result<(), Storage> {
-        self.import(saved)
+        *self = machine::decode(saved)?;
+        Ok(())
     }
 
     fn export(&self) -> Result<Box<dyn Export>, Storage> {
         Ok(Box::new(machine::encode(self)?))
     }
 
-    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
-        *self = machine::decode(received)?;
-        Ok(())
-    }
-
     fn dump(&self) -> String {
         format!(
             "{{\"version\":{},\"revision\":{},\"tickets\":{},\"instances\":{},\"quarantined\":{}}}",
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -89,12 +89,15 @@
     /// Returns the storage error that stops the replica.
     fn save(&mut self) -> Result<Vec<u8>, Storage>;
 
-    /// Frees bulk data that the state no longer names, once the saved state is durable.
+    /// Frees bulk data that the state no longer names, once the saved state is durable;
+    /// nothing for a machine without any.
     ///
     /// # Errors
     ///
     /// Returns the storage error that stops the replica.
-    fn prune(&mut self) -> Result<(), Storage>;
+    fn prune(&mut self) -> Result<(), Storage> {
+        Ok(())
+    }
 
     /// Replaces the state by one that [`Machine::save`] gave on this disk.
     ///
@@ -119,12 +122,15 @@
         Ok(Box::new(Vec::new()))
     }
 
-    /// Replaces the whole state by what an importer of this machine received.
+    /// Replaces the whole state by what an importer of this machine received; a machine
+    /// without bulk data exports what it saves.
     ///
     /// # Errors
     ///
     /// Returns the storage error that stops the replica.
-    fn import(&mut self, received: &[u8]) -> Result<(), Storage>;
+    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
+        self.load(received)
+    }
 
     /// State for an operator, without customer content.
     fn dump(&self) -> String;
--- a/crates/state/src/registry/machine.rs
+++ b/crates/state/src/registry/machine.rs
@@ -129,10 +129,6 @@
         machine::encode(self)
     }
 
-    fn prune(&mut self) -> Result<(), Storage> {
-        Ok(())
-    }
-
     fn load(&mut self, saved: &[u8]) -> Result<(), Storage> {
         *self = machine::decode(saved)?;
         Ok(())
@@ -142,10 +138,6 @@
         Ok(Box::new(machine::encode(self)?))
     }
 
-    fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
-        self.load(received)
-    }
-
     fn dump(&self) -> String {
         format!(
             "revision {}, configuration {}, retiring {:?}",
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -20,7 +20,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -261,22 +260,8 @@
             if !self.needs_own_list() {
                 continue;
             }
-            let read = Instant::now();
-            match self.list.read().await {
-                Ok(servers) => {
-                    self.metrics.list_read("read");
-                    if std::mem::take(&mut is_lost) {
-                        tracing::info!(count = servers.len(), "list of backend servers regained");
-                    }
-                    self.member.servers.send_modify(|known| known.set(Held::new(servers, read)));
-                }
-                Err(error) => {
-                    self.metrics.list_read("failed");
-                    if !std::mem::replace(&mut is_lost, true) {
-                        tracing::warn!(%error, "list of backend servers lost");
-                    }
-                }
-            }
+            let is_read = self.member.take_listing(self.list.as_ref(), &mut is_lost).await;
+            self.metrics.list_read(if is_read { "read" } else { "failed" });
         }
     }
 
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -228,7 +228,7 @@
 }
 
 /// Hands received journal messages to the replicas.
-pub(crate) fn deliver(groups: &Map<u32, Handle>, id: Id, from: &str, envelopes: Vec<Envelope>) {
+fn deliver(groups: &Map<u32, Handle>, id: Id, from: &str, envelopes: Vec<Envelope>) {
     let mut by_group: Map<u32, Vec<_>> = Map::default();
     for envelope in envelopes {
         if envelope.to == id {
@@ -242,9 +242,11 @@
     }
 }
 
-/// Answers a request for a journal's leader; gives any other request back.
+/// Answers a request for the journals of the folder `id`; gives any other request back.
 pub(crate) async fn serve_journal(
     groups: Option<&Map<u32, Handle>>,
+    id: Option<&Id>,
+    from: &str,
     request: Request,
 ) -> Result<Response, Request> {
     let handle = |group: &u32| groups.and_then(|groups| groups.get(group));
@@ -264,6 +266,12 @@
             },
             None => Response::NotLeader(None),
         },
+        Request::Consensus(envelopes) => {
+            if let Some((groups, id)) = groups.zip(id) {
+                deliver(groups, *id, from, envelopes);
+            }
+            Response::Done
+        }
         other => return Err(other),
     };
     Ok(answer)
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -70,7 +70,7 @@
             // Instances spread over the sources by their names, and go round from there.
             let held = self.address.as_ref();
             let at = held.and_then(|held| addresses.iter().position(|address| address == held));
-            let start = routing::digest(&member.settings.name) as usize;
+            let start = routing::digest(member.settings.name.as_bytes()) as usize;
             let next = at.map_or(start, |at| at + 1) % addresses.len().max(1);
             self.address = addresses.get(next).cloned();
             self.chosen = Some(Instant::now());
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -354,17 +354,12 @@
     }
 
     async fn respond(&self, from: String, request: Request) -> Response {
-        let request = match links::serve_journal(self.groups.get(), request).await {
+        let (groups, id) = (self.groups.get(), self.id.get());
+        let request = match links::serve_journal(groups, id, &from, request).await {
             Ok(response) => return response,
             Err(request) => request,
         };
         match request {
-            Request::Consensus(envelopes) => {
-                if let Some((groups, id)) = self.groups.get().zip(self.id.get()) {
-                    links::deliver(groups, *id, &from, envelopes);
-                }
-                Response::Done
-            }
             Request::Beat(beat) if self.settings.role == Role::Control => self.report(*beat),
             Request::Dump { .. } => Response::Text(self.dump().to_string()),
             other => {
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -32,7 +32,7 @@
 
     /// Takes a sign of life; `true` if the instance was absent.
     pub(crate) fn hear(&mut self, beat: Beat) -> bool {
-        let digest = beat.callers.as_deref().map_or(0, routing::digest);
+        let digest = beat.callers.as_ref().map_or(0, |address| routing::digest(address.as_bytes()));
         let seen = Seen { beat, digest, at: Instant::now() };
         let old = self.seen.insert(seen.beat.name.clone(), seen);
         old.is_none_or(|old| old.at.elapsed() > self.absent_after)
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -8,6 +8,7 @@
 use crate::gateway::List;
 use crate::member::node::Member;
 use coordination::placement::Listed;
+use coordination::routing;
 use protocol::presence::{Relayed, Servers};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -145,9 +146,7 @@
 fn digest(servers: &[Listed]) -> u64 {
     // A list always has an encoding; without one it would count as a new list.
     let bytes = postcard::to_stdvec(servers).unwrap_or_default();
-    let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
-    u64::from_le_bytes(word).max(1)
+    routing::digest(&bytes).max(1)
 }
 
 impl Member {
@@ -162,20 +161,31 @@
                 continue;
             }
             let read = Instant::now();
-            match list.read().await {
-                Ok(servers) => {
-                    if std::mem::take(&mut is_lost) {
-                        tracing::info!("list of backend servers regained");
-                    }
-                    self.servers.send_modify(|known| known.set(Held::new(servers, read)));
+            self.take_listing(list.as_ref(), &mut is_lost).await;
+            tokio::time::sleep(READ_PAUSE.saturating_sub(read.elapsed()).max(LEAST_PAUSE)).await;
+        }
+    }
+
+    /// Reads the list once; returns whether that succeeded. `is_lost` says whether the read
+    /// before failed.
+    pub(crate) async fn take_listing(&self, list: &dyn List, is_lost: &mut bool) -> bool {
+        let read = Instant::now();
+        let listing = list.read().await;
+        let was_lost = std::mem::replace(is_lost, listing.is_err());
+        match listing {
+            Ok(servers) => {
+                if was_lost {
+                    tracing::info!(count = servers.len(), "list of backend servers regained");
                 }
-                Err(error) => {
-                    if !std::mem::replace(&mut is_lost, true) {
-                        tracing::warn!(%error, "list of backend servers lost");
-                    }
+                self.servers.send_modify(|known| known.set(Held::new(servers, read)));
+                true
+            }
+            Err(error) => {
+                if !was_lost {
+                    tracing::warn!(%error, "list of backend servers lost");
                 }
+                false
             }
-            tokio::time::sleep(READ_PAUSE.saturating_sub(read.elapsed()).max(LEAST_PAUSE)).await;
         }
     }
 
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -58,20 +58,16 @@
     }
 
     async fn respond(&self, from: String, request: Request) -> Response {
-        let request = match links::serve_journal(self.groups.get(), request).await {
+        let (groups, id) = (self.groups.get(), self.id.get());
+        let request = match links::serve_journal(groups, id, &from, request).await {
             Ok(response) => return response,
             Err(request) => request,
         };
         match request {
-            Request::Consensus(envelopes) => {
-                if let Some((groups, id)) = self.groups.get().zip(self.id.get()) {
-                    links::deliver(groups, *id, &from, envelopes);
-                }
-                Response::Done
-            }
             // Only instances that find each other from a few addresses send beats; requests to
             // journals are served above.
             Request::Beat(_)
+            | Request::Consensus(_)
             | Request::Submit { .. }
             | Request::Query { .. }
             | Request::SubmitThenQuery { .. } => Response::Unknown,
