feat(gateway): log the rate limits that backend servers announce

Change: the adapter reads the header; an entry logs each change of a server's limit with the request that brought it, and the limit and affinity of each request sent; gauge limited_servers. Nothing is decided by it yet.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -114,6 +114,9 @@
     pub outstanding: u32,
     /// Requests that the other instances have outstanding there, by their last reports.
     pub remote_outstanding: u32,
+    /// Requests per second that it accepts from all instances together; `None` if it announces
+    /// no limit.
+    pub rate_limit: Option<f64>,
     failures: u32,
     suspended_until: Millis,
 }
@@ -204,6 +207,7 @@
                     listed,
                     outstanding: 0,
                     remote_outstanding: 0,
+                    rate_limit: None,
                     failures: 0,
                     suspended_until: 0,
                 },
@@ -324,6 +328,19 @@
         candidates.iter().copied().min_by_key(|s| (s.load_percent(), routing::mix(key, s.digest)))
     }
 
+    /// Records the rate limit that the server `id` announced with its last response; returns the
+    /// previous one if it differs.
+    pub fn set_rate_limit(&mut self, id: &str, limit: Option<f64>) -> Option<Option<f64>> {
+        let server = self.servers.get_mut(id)?;
+        let old = std::mem::replace(&mut server.rate_limit, limit);
+        (old != limit).then_some(old)
+    }
+
+    /// Number of listed servers that announce a rate limit.
+    pub fn limited_count(&self) -> usize {
+        self.servers.values().filter(|server| server.rate_limit.is_some()).count()
+    }
+
     /// Records that a request was sent to the server `id`.
     pub fn begin(&mut self, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -103,6 +103,14 @@
     /// Classifies a backend server's response by its head.
     fn verdict(&self, head: &response::Parts, dispatch: &Dispatch<'_>) -> Verdict;
 
+    /// Reads the rate limit that a backend server announces with a response, in requests per
+    /// second of all instances together; `None` if it announces none.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was found instead of a rate.
+    fn rate_limit(&self, head: &response::Parts) -> Result<Option<f64>, String>;
+
     /// Renders a refusal as a response. `id` is the request id if it could be read.
     fn refusal_response(&self, id: Option<&str>, refusal: &Refusal) -> Response<Full<Bytes>>;
 
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -5,7 +5,7 @@
 //! and backend server lists, and remove expired connections.
 
 use crate::clock::millis;
-use crate::gateway::dialect::Adapter;
+use crate::gateway::dialect::{Adapter, Dispatch};
 use crate::gateway::list::List;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::pool::Pool;
@@ -17,6 +17,7 @@
 use coordination::Millis;
 use coordination::placement::{self, Fleet};
 use coordination::retry::Budget;
+use http::response;
 use protocol::routes::Table;
 use rand::RngExt;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -190,6 +191,36 @@
         self.member.clock.now()
     }
 
+    /// Returns the rate limit of a backend server as known to this instance.
+    pub(crate) fn rate_limit(&self, server: &str) -> Option<f64> {
+        self.fleet.lock().ok()?.get(server)?.rate_limit
+    }
+
+    /// Applies the rate limit that a backend server announces with a response.
+    pub(crate) fn observe_rate_limit(&self, dispatch: &Dispatch<'_>, head: &response::Parts) {
+        let (request, server) = (dispatch.id, dispatch.server);
+        let limit = match self.adapter.rate_limit(head) {
+            Ok(limit) => limit,
+            Err(found) => {
+                tracing::warn!(request, server, found, "rate limit of a backend server ignored");
+                return;
+            }
+        };
+        let Ok(mut fleet) = self.fleet.lock() else {
+            return;
+        };
+        if let Some(previous) = fleet.set_rate_limit(server, limit) {
+            self.metrics.limited_servers.set(fleet.limited_count() as i64);
+            tracing::info!(
+                request,
+                server,
+                limit,
+                previous,
+                "rate limit of a backend server changed"
+            );
+        }
+    }
+
     /// Returns the configuration in force on this instance.
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
         self.table.read().ok()?.clone()
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     pub(crate) under_way: Gauge,
     pub(crate) connections: Counter,
     pub(crate) list_reads: Family<Label, Counter>,
+    pub(crate) limited_servers: Gauge,
 }
 
 fn latency() -> Histogram {
@@ -54,6 +55,9 @@
         let list_reads = Family::<Label, Counter>::default();
         let help = "Reads of the list of backend servers by outcome";
         registry.register("list_reads", help, list_reads.clone());
+        let limited_servers = Gauge::default();
+        let help = "Backend servers that announce a rate limit";
+        registry.register("limited_servers", help, limited_servers.clone());
         Self {
             registry,
             requests,
@@ -64,6 +68,7 @@
             under_way,
             connections,
             list_reads,
+            limited_servers,
         }
     }
 
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -183,10 +183,13 @@
             let Some(request) = self.build_request(outbound, &dispatch) else {
                 return AttemptResult::Unavailable;
             };
+            let rate_limit = self.entry.rate_limit(&id);
             tracing::info!(
                 request = outbound.metadata.id,
                 server = id,
                 address,
+                is_last_server = outbound.last_server == Some(id.as_str()),
+                rate_limit,
                 attempt = self.progress.attempts + 1,
                 new_connection = is_new,
                 remaining_ms = millis(remaining),
@@ -255,6 +258,9 @@
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
         let verdict = self.entry.adapter.verdict(&head, dispatch);
+        if matches!(verdict, Verdict::Answer | Verdict::Full) {
+            self.entry.observe_rate_limit(dispatch, &head);
+        }
         if verdict == Verdict::Answer {
             return AttemptResult::Answered(Box::new((Response::from_parts(head, body), attempt)));
         }
