fix(placement): obey the rate limits of backend servers, all instances together

Cause: callers lost nothing, but a backend server that named 7.1 requests/s got 126 in 4 s (48 allowed): entries read the limit and no decision used it, neither affinity nor the choice of servers. Ruled out: a limit that is lost (it is read again after a restart, and constant), a limit that each entry obeys alone (one entry alone sent 53 in 4 s). Change: coordination::limit divides each limit among the entries of the roster: equal shares, at most one holder per request/s of the limit, by rendezvous hashing, so that saved permits are worth a second of the limit at any number of entries. Placement takes a permit in the same step as the choice. Entries report what they observe in heartbeats; control instances relay it, so that one without a share learns of the end. Entries that left count for 3 s more; an unconfirmed limit expires after 15 s, one instance after the other.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod consensus;
 pub mod entry;
 pub mod lease;
+pub mod limit;
 pub mod membership;
 pub mod placement;
 pub mod retry;
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -17,6 +17,7 @@
 //! Two choices: M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
 
 use crate::Millis;
+use crate::limit::{Limit, Observation, Sharers};
 use crate::routing;
 use serde::{Deserialize, Serialize};
 use state::collections::Map;
@@ -114,9 +115,8 @@
     pub outstanding: u32,
     /// Requests that the other instances have outstanding there, by their last reports.
     pub remote_outstanding: u32,
-    /// Requests per second that it accepts from all instances together; `None` if it announces
-    /// no limit.
-    pub rate_limit: Option<f64>,
+    /// Rate limit that it announces.
+    pub limit: Limit,
     failures: u32,
     suspended_until: Millis,
 }
@@ -134,7 +134,9 @@
 
     /// Whether it may be chosen at `now`.
     pub fn is_available(&self, now: Millis) -> bool {
-        !self.listed.is_draining && self.suspended_until <= now
+        !self.listed.is_draining
+            && self.suspended_until <= now
+            && self.limit.wait(now, 1) == Some(0)
     }
 }
 
@@ -160,24 +162,26 @@
 }
 
 /// One instance's view of the listed backend servers.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Fleet {
     settings: Settings,
     failure_domain: String,
     servers: Map<String, Server>,
     by_service: Map<String, Vec<String>>,
     listed_at: Option<Millis>,
+    sharers: Sharers,
 }
 
 impl Fleet {
-    /// Creates an empty fleet for an instance in `failure_domain`.
-    pub fn new(settings: Settings, failure_domain: &str) -> Self {
+    /// Creates an empty fleet for the instance with this `address` in `failure_domain`.
+    pub fn new(settings: Settings, failure_domain: &str, address: &str) -> Self {
         Self {
             settings,
             failure_domain: failure_domain.to_owned(),
             servers: Map::default(),
             by_service: Map::default(),
             listed_at: None,
+            sharers: Sharers::new(address),
         }
     }
 
@@ -207,7 +211,7 @@
                     listed,
                     outstanding: 0,
                     remote_outstanding: 0,
-                    rate_limit: None,
+                    limit: Limit::default(),
                     failures: 0,
                     suspended_until: 0,
                 },
@@ -269,7 +273,7 @@
 
     /// Chooses a server, or `None` if none is available.
     ///
-    /// [`Fleet::begin`] must be called when the request is sent there.
+    /// [`Fleet::begin`] must be called before another request is placed.
     pub fn choose(&self, now: Millis, query: &Query<'_>) -> Option<&Listing> {
         let ids = self.by_service.get(query.service)?;
         let available: Vec<&Server> = ids
@@ -328,23 +332,61 @@
         candidates.iter().copied().min_by_key(|s| (s.load_percent(), routing::mix(key, s.digest)))
     }
 
-    /// Records the rate limit that the server `id` announced with its last response; returns the
+    /// Replaces the addresses of the present instances, which share the rate limits.
+    pub fn set_sharers<'a>(&mut self, now: Millis, present: impl Iterator<Item = &'a str>) {
+        self.sharers.update(now, present);
+        self.divide_limits(now);
+    }
+
+    /// Divides the rate limits again if an instance left some time ago.
+    pub fn expire_sharers(&mut self, now: Millis) {
+        if self.sharers.expire(now) {
+            self.divide_limits(now);
+        }
+    }
+
+    fn divide_limits(&mut self, now: Millis) {
+        for server in self.servers.values_mut() {
+            server.limit.divide(server.digest, &self.sharers, now);
+        }
+    }
+
+    /// Records the rate limit that the server `id` announced with a response; returns the previous
+    /// one if it differs.
+    pub fn observe_limit(&mut self, id: &str, seen: Observation) -> Option<Option<f64>> {
+        let server = self.servers.get_mut(id)?;
+        server.limit.observe(server.digest, &self.sharers, seen)
+    }
+
+    /// Records the rate limit that another instance observed on the server `id`; returns the
     /// previous one if it differs.
-    pub fn set_rate_limit(&mut self, id: &str, limit: Option<f64>) -> Option<Option<f64>> {
+    pub fn observe_relayed_limit(
+        &mut self,
+        id: &str,
+        seen: Observation,
+        now: Millis,
+    ) -> Option<Option<f64>> {
         let server = self.servers.get_mut(id)?;
-        let old = std::mem::replace(&mut server.rate_limit, limit);
-        (old != limit).then_some(old)
+        server.limit.observe_relayed(server.digest, &self.sharers, seen, now)
+    }
+
+    /// What this instance observed of the servers' rate limits, to be sent to the others.
+    pub fn local_limits(&self, now: Millis) -> Vec<(String, Observation)> {
+        let report =
+            |(id, server): (&String, &Server)| Some((id.clone(), server.limit.report(now)?));
+        self.servers.iter().filter_map(report).collect()
     }
 
-    /// Number of listed servers that announce a rate limit.
-    pub fn limited_count(&self) -> usize {
-        self.servers.values().filter(|server| server.rate_limit.is_some()).count()
+    /// Number of listed servers with a rate limit.
+    pub fn limited_count(&self, now: Millis) -> usize {
+        self.servers.values().filter(|server| server.limit.per_second(now).is_some()).count()
     }
 
     /// Records that a request was sent to the server `id`.
-    pub fn begin(&mut self, id: &str) {
+    pub fn begin(&mut self, now: Millis, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.outstanding += 1;
+            server.limit.take(now);
         }
     }
 
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -70,11 +70,42 @@
         Self { per_second, burst, tokens: burst, refilled_at: now }
     }
 
-    /// Takes one permit; `false` if none is available at `now`.
-    pub fn take(&mut self, now: Millis) -> bool {
+    /// Creates an empty bucket.
+    pub fn empty(per_second: f64, burst: f64, now: Millis) -> Self {
+        Self { tokens: 0.0, ..Self::new(per_second, burst, now) }
+    }
+
+    /// Replaces rate and capacity from `now` on.
+    pub fn set_rate(&mut self, per_second: f64, burst: f64, now: Millis) {
+        self.refill(now);
+        self.per_second = per_second;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Time until `count` permits have been available one after the other, in milliseconds;
+    /// `None` if the rate is 0.
+    pub fn wait(&self, now: Millis, count: u32) -> Option<Millis> {
+        if self.per_second <= 0.0 {
+            return None;
+        }
+        let missing = f64::from(count) - self.tokens_at(now);
+        Some((missing.max(0.0) / self.per_second * 1_000.0).ceil() as Millis)
+    }
+
+    fn tokens_at(&self, now: Millis) -> f64 {
         let elapsed = now.saturating_sub(self.refilled_at) as f64 / 1_000.0;
+        (self.tokens + elapsed * self.per_second).min(self.burst)
+    }
+
+    fn refill(&mut self, now: Millis) {
+        self.tokens = self.tokens_at(now);
         self.refilled_at = self.refilled_at.max(now);
-        self.tokens = (self.tokens + elapsed * self.per_second).min(self.burst);
+    }
+
+    /// Takes one permit; `false` if none is available at `now`.
+    pub fn take(&mut self, now: Millis) -> bool {
+        self.refill(now);
         let is_allowed = self.tokens >= 1.0;
         if is_allowed {
             self.tokens -= 1.0;
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod faults;
 mod lease;
+mod limit;
 mod membership;
 mod placement;
 mod policy;
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -14,7 +14,7 @@
 }
 
 fn fleet(servers: &[(&str, &str)]) -> Fleet {
-    let mut fleet = Fleet::new(Settings::default(), "a");
+    let mut fleet = Fleet::new(Settings::default(), "a", "e1");
     fleet.update(0, servers.iter().map(|(id, domain)| listed(id, domain)).collect());
     fleet
 }
@@ -40,7 +40,7 @@
     for last_server in ["s1", "s2", "s3"] {
         for _ in 0..8 {
             assert_eq!(choose_with_last(&fleet, last_server), last_server);
-            fleet.begin(last_server);
+            fleet.begin(0, last_server);
         }
         assert_ne!(
             choose_with_last(&fleet, last_server),
@@ -57,10 +57,10 @@
     let mut fleet = fleet(&[("s1", "a"), ("s2", "a"), ("s3", "a")]);
     let first = choose(&fleet, 0, Some("session")).unwrap();
     assert_eq!(choose(&fleet, 0, Some("session")).unwrap(), first);
-    fleet.begin(&first);
+    fleet.begin(0, &first);
     let second = choose(&fleet, 0, Some("session")).unwrap();
     assert_ne!(second, first);
-    (0..2).for_each(|_| fleet.begin(&second));
+    (0..2).for_each(|_| fleet.begin(0, &second));
     assert_eq!(choose(&fleet, 0, Some("session")).unwrap(), first, "the third is not considered");
 }
 
@@ -73,7 +73,7 @@
     assert_ne!(choose(&fleet, 0, None).unwrap(), first);
     fleet.set_remote_loads(&[]);
     assert_eq!(choose(&fleet, 0, Some("session")).unwrap(), first);
-    fleet.begin(&first);
+    fleet.begin(0, &first);
     assert_eq!(fleet.local_loads(), [(first, 1)]);
 }
 
@@ -87,7 +87,8 @@
     let names: Vec<String> = (0..6).map(|n| format!("s{n}")).collect();
     let list: Vec<Listing> =
         names.iter().map(|id| Listing { slots: 8, ..listed(id, "a") }).collect();
-    let mut entries: Vec<Fleet> = (0..4).map(|_| Fleet::new(Settings::default(), "a")).collect();
+    let mut entries: Vec<Fleet> =
+        (0..4).map(|_| Fleet::new(Settings::default(), "a", "e1")).collect();
     entries.iter_mut().for_each(|entry| drop(entry.update(0, list.clone())));
     let mut overflows = 0;
     for request in 0..requests {
@@ -96,7 +97,7 @@
         let id = choose(&entries[at], 0, Some(&session)).unwrap();
         let load: u32 = entries.iter().map(|e| e.get(&id).unwrap().outstanding).sum();
         overflows += u32::from(load >= 8);
-        entries[at].begin(&id);
+        entries[at].begin(0, &id);
         // The entries exchange their loads after every eighth request.
         if is_shared && request % 8 == 7 {
             let loads: Vec<Vec<(String, u32)>> = entries.iter().map(Fleet::local_loads).collect();
@@ -127,10 +128,10 @@
     let mut fleet = fleet(&[("near", "a"), ("far", "b")]);
     for _ in 0..3 {
         assert_eq!(choose(&fleet, 0, None).unwrap(), "near");
-        fleet.begin("near");
+        fleet.begin(0, "near");
     }
     assert_eq!(choose(&fleet, 0, None).unwrap(), "far", "three of four slots are in use");
-    (0..3).for_each(|_| fleet.begin("far"));
+    (0..3).for_each(|_| fleet.begin(0, "far"));
     assert_eq!(choose(&fleet, 0, None).unwrap(), "near");
 }
 
@@ -139,7 +140,7 @@
     let mut fleet = fleet(&[("s1", "a"), ("s2", "a")]);
     fleet.update(0, vec![Listing { is_draining: true, ..listed("s1", "a") }, listed("s2", "a")]);
     assert_eq!(choose(&fleet, 0, None).unwrap(), "s2");
-    fleet.begin("s2");
+    fleet.begin(0, "s2");
     fleet.finish(0, "s2", Outcome::Failed);
     assert_eq!(choose(&fleet, 0, None), None);
     assert_eq!(choose(&fleet, 1_000, None).unwrap(), "s2");
@@ -163,7 +164,7 @@
 #[test]
 fn a_server_at_a_new_address_starts_with_fresh_state() {
     let mut fleet = fleet(&[("s1", "a")]);
-    fleet.begin("s1");
+    fleet.begin(0, "s1");
     fleet.finish(0, "s1", Outcome::Gone);
     fleet.update(10, vec![Listing { address: "elsewhere:80".into(), ..listed("s1", "a") }]);
     assert_eq!(choose(&fleet, 10, None).unwrap(), "s1");
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -23,7 +23,7 @@
 }
 
 /// Periodic announcement of an instance to a control instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Name of the sending instance.
     pub name: String,
@@ -50,6 +50,20 @@
     pub roster_digest: u64,
     /// Number of the sender's requests in flight, by id of the backend server.
     pub in_flight: Vec<(String, u32)>,
+    /// What the sender lately observed of backend servers' rate limits.
+    pub rate_limits: Vec<RateLimit>,
+}
+
+/// Rate limit of a backend server as an instance observed it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RateLimit {
+    /// Id of the backend server.
+    pub server: String,
+    /// Requests per second that it accepts from all instances together; `None` if it announces
+    /// no limit any more.
+    pub per_second: Option<f64>,
+    /// Time since the observation, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// State of the backend server list as a control instance relays it.
@@ -150,7 +164,7 @@
 }
 
 /// Reply of a control instance to a [`Heartbeat`].
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     /// The registry; `None` unless it is newer than the receiver's.
     pub registry: Option<Registry>,
@@ -170,6 +184,8 @@
     /// Number of requests that other entries have in flight on each listed backend server,
     /// in the order of the list.
     pub in_flight: Vec<u32>,
+    /// Newest observations of the other entries of backend servers' rate limits, for entries.
+    pub rate_limits: Vec<RateLimit>,
     /// The ready entries, for entries; `None` if the receiver's roster is up to date.
     pub roster: Option<Roster>,
 }
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -21,7 +21,7 @@
 const KEY_CONTEXT: &str = "buckthornshelf 2026 peer frames";
 
 /// A request of one instance to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Request {
     /// Consensus messages between replicas.
     Consensus(Vec<Envelope>),
@@ -120,7 +120,7 @@
 }
 
 /// Response to a [`Request`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Response {
     /// The request was accepted; there is nothing to return.
     Done,
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -18,11 +18,9 @@
 }
 
 impl Attempt {
-    /// Starts an attempt. Its outcome is `Cancelled` unless it is ended otherwise.
+    /// Wraps an attempt that was begun in the fleet. Its outcome is `Cancelled` unless it is
+    /// ended otherwise.
     pub(crate) fn new(entry: &Arc<Entry>, server: Listing) -> Self {
-        if let Ok(mut fleet) = entry.fleet.lock() {
-            fleet.begin(&server.id);
-        }
         Self { entry: entry.clone(), server, connection: None, outcome: Outcome::Cancelled }
     }
 
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -12,12 +12,14 @@
 use crate::gateway::server;
 use crate::gateway::stories::{Record, Records};
 use crate::member::Member;
-use crate::member::servers::Snapshot;
+use crate::member::servers::{Snapshot, Usage, View};
 use crate::node::Error;
 use coordination::Millis;
+use coordination::limit::Observation;
 use coordination::placement::{self, Fleet};
 use coordination::retry::Budget;
 use http::response;
+use protocol::presence::{RateLimit, Roster};
 use protocol::routes::Table;
 use rand::RngExt;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -112,7 +114,8 @@
         let listener = TcpListener::bind(&settings.listen)
             .await
             .map_err(|error| Error::new(format!("{}: {error}", settings.listen)))?;
-        let fleet = Fleet::new(settings.placement.clone(), &settings.failure_domain);
+        let address = member.settings.caller_address.as_deref().unwrap_or_default();
+        let fleet = Fleet::new(settings.placement.clone(), &settings.failure_domain, address);
         let (stop, phase) = watch::channel(server::Phase::Serving);
         let entry = Arc::new(Self {
             settings,
@@ -132,9 +135,8 @@
         });
         tokio::spawn(entry.clone().watch_configuration());
         let weak = Arc::downgrade(&entry);
-        entry.member.set_load_source(Box::new(move || {
-            let entry = weak.upgrade();
-            entry.and_then(|e| Some(e.fleet.lock().ok()?.local_loads())).unwrap_or_default()
+        entry.member.set_usage_source(Box::new(move || {
+            weak.upgrade().and_then(|entry| entry.usage()).unwrap_or_default()
         }));
         tokio::spawn(entry.clone().watch_servers());
         tokio::spawn(entry.clone().poll_list());
@@ -191,9 +193,21 @@
         self.member.clock.now()
     }
 
+    /// Returns what this instance reports of its use of the backend servers.
+    fn usage(&self) -> Option<Usage> {
+        let now = self.now();
+        let fleet = self.fleet.lock().ok()?;
+        let rate_limit = |(server, seen): (String, Observation)| {
+            let age_ms = now.saturating_sub(seen.at);
+            RateLimit { server, per_second: seen.per_second, age_ms }
+        };
+        let rate_limits = fleet.local_limits(now).into_iter().map(rate_limit).collect();
+        Some(Usage { in_flight: fleet.local_loads(), rate_limits })
+    }
+
     /// Returns the rate limit of a backend server as known to this instance.
     pub(crate) fn rate_limit(&self, server: &str) -> Option<f64> {
-        self.fleet.lock().ok()?.get(server)?.rate_limit
+        self.fleet.lock().ok()?.get(server)?.limit.per_second(self.now())
     }
 
     /// Applies the rate limit that a backend server announces with a response.
@@ -209,8 +223,10 @@
         let Ok(mut fleet) = self.fleet.lock() else {
             return;
         };
-        if let Some(previous) = fleet.set_rate_limit(server, limit) {
-            self.metrics.limited_servers.set(fleet.limited_count() as i64);
+        let now = self.now();
+        let seen = Observation { per_second: limit, at: now };
+        if let Some(previous) = fleet.observe_limit(server, seen) {
+            self.metrics.limited_servers.set(fleet.limited_count(now) as i64);
             tracing::info!(
                 request,
                 server,
@@ -226,11 +242,18 @@
         self.table.read().ok()?.clone()
     }
 
-    /// Applies each newer configuration of the registry.
+    /// Applies each newer configuration of the registry, and each new roster.
     async fn watch_configuration(self: Arc<Self>) {
         let mut view = self.member.view.subscribe();
+        let mut roster_digest = None;
         loop {
-            let registry = view.borrow_and_update().registry.clone();
+            let (registry, roster) = {
+                let view = view.borrow_and_update();
+                (view.registry.clone(), view.roster.clone())
+            };
+            if roster_digest.replace(roster.digest) != Some(roster.digest) {
+                self.apply_roster(&roster);
+            }
             if let Some(document) = &registry.document {
                 let current = self.table().map_or(0, |table| table.version());
                 if document.version > current {
@@ -244,6 +267,13 @@
         }
     }
 
+    /// Divides the backend servers' rate limits among the entries of the roster.
+    fn apply_roster(&self, roster: &Roster) {
+        if let Ok(mut fleet) = self.fleet.lock() {
+            fleet.set_sharers(self.now(), roster.entries.iter().map(|(_, address)| &**address));
+        }
+    }
+
     fn apply_configuration(&self, version: u64, content: &[u8]) {
         let config = self.adapter.decode_config(content);
         let table = config.and_then(|config| Table::new(config).map_err(|e| e.to_string()));
@@ -268,8 +298,30 @@
             }
             if let Ok(mut fleet) = self.fleet.lock() {
                 fleet.set_remote_loads(&view.loads);
+                self.apply_relayed_limits(&mut fleet, &view);
+            }
+        }
+    }
+
+    /// Applies the rate limits that other entries observed.
+    fn apply_relayed_limits(&self, fleet: &mut Fleet, view: &View) {
+        let now = self.now();
+        let elapsed = view.relayed_at.map_or(0, |relayed_at| millis(relayed_at.elapsed()));
+        for RateLimit { server, per_second: limit, age_ms } in view.rate_limits.iter() {
+            let age = age_ms + elapsed;
+            let seen = Observation { per_second: *limit, at: now.saturating_sub(age) };
+            if let Some(previous) = fleet.observe_relayed_limit(server, seen, now) {
+                tracing::info!(
+                    server,
+                    limit,
+                    previous,
+                    age,
+                    "rate limit of a backend server relayed"
+                );
             }
         }
+        fleet.expire_sharers(now);
+        self.metrics.limited_servers.set(fleet.limited_count(now) as i64);
     }
 
     /// Updates the fleet from a backend server list.
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -11,7 +11,7 @@
 use crate::gateway::headers;
 use crate::gateway::pool::SendError;
 use bytes::Bytes;
-use coordination::placement::{Listing, Outcome, Query};
+use coordination::placement::{Outcome, Query};
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -86,9 +86,9 @@
         let mut attempted: Vec<String> = Vec::new();
         let mut skipped = 0;
         loop {
-            let server = self.choose_server(outbound, &attempted).await?;
-            attempted.push(server.id.clone());
-            match self.attempt(outbound, server, &attempted).await {
+            let attempt = self.choose_server(outbound, &attempted).await?;
+            attempted.push(attempt.server.id.clone());
+            match self.attempt(outbound, attempt, &attempted).await {
                 AttemptResult::Answered(answered) => return Ok(*answered),
                 AttemptResult::Unavailable if skipped < MAX_SKIPPED => skipped += 1,
                 AttemptResult::Unavailable => {
@@ -124,12 +124,13 @@
         Refusal::retryable(Kind::Overloaded, RETRY_AFTER, detail).into()
     }
 
-    /// Chooses a backend server; waits for a limited time if none is usable.
+    /// Chooses a backend server and begins an attempt there; waits for a limited time if none is
+    /// usable.
     async fn choose_server(
         &mut self,
         outbound: &Outbound<'_>,
         attempted: &[String],
-    ) -> Result<Listing, Error> {
+    ) -> Result<Attempt, Error> {
         let session = outbound.metadata.program.as_deref().or(outbound.metadata.session.as_deref());
         let session = session.filter(|_| outbound.route.is_sticky);
         let query = Query {
@@ -142,10 +143,11 @@
         let placement_deadline = Instant::now() + remaining.mul_f64(PLACEMENT_SHARE);
         loop {
             let now = self.entry.now();
-            if let Ok(fleet) = self.entry.fleet.lock() {
+            if let Ok(mut fleet) = self.entry.fleet.lock() {
                 self.progress.list_age_ms = fleet.list_age(now).unwrap_or(0);
-                if let Some(server) = fleet.choose(now, &query) {
-                    return Ok(server.clone());
+                if let Some(server) = fleet.choose(now, &query).cloned() {
+                    fleet.begin(now, &server.id);
+                    return Ok(Attempt::new(&self.entry, server));
                 }
             }
             if Instant::now() >= placement_deadline {
@@ -156,16 +158,15 @@
         }
     }
 
-    /// Makes one attempt on `server`. If a pooled connection turns out to be closed before
+    /// Makes one attempt. If a pooled connection turns out to be closed before
     /// anything was sent, the attempt goes on with another connection.
     async fn attempt(
         &self,
         outbound: &Outbound<'_>,
-        server: Listing,
+        mut attempt: Attempt,
         attempted: &[String],
     ) -> AttemptResult {
-        let (id, address) = (server.id.clone(), server.address.clone());
-        let mut attempt = Attempt::new(&self.entry, server);
+        let (id, address) = (attempt.server.id.clone(), attempt.server.address.clone());
         loop {
             let Some((connection, is_new)) = self.entry.pool.get(&address).await else {
                 attempt.end(Outcome::Failed);
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -97,6 +97,7 @@
 fn heartbeat(member: &Member) -> Heartbeat {
     let settings = &member.settings;
     let is_leaving = member.is_leaving.load(Ordering::Relaxed);
+    let usage = member.usage_source.get().map(|usage| usage()).unwrap_or_default();
     Heartbeat {
         name: settings.name.clone(),
         address: settings.address.clone(),
@@ -109,7 +110,8 @@
         wants_relay: false,
         list_digest: member.servers.borrow().list.as_ref().map_or(0, |current| current.digest),
         roster_digest: member.view.borrow().roster.digest,
-        in_flight: member.load_source.get().map(|loads| loads()).unwrap_or_default(),
+        in_flight: usage.in_flight,
+        rate_limits: usage.rate_limits,
     }
 }
 
@@ -149,6 +151,7 @@
             let digest = relayed.digest;
             view.apply(relayed);
             view.update_loads(digest, &reply.in_flight);
+            view.rate_limits = Arc::new(reply.rate_limits);
         });
     }
     member.view.send_modify(|view| {
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -76,7 +76,7 @@
     pub(crate) heartbeat_trigger: Notify,
     /// View of the backend servers.
     pub(crate) servers: watch::Sender<servers::View>,
-    pub(crate) load_source: OnceLock<servers::Loads>,
+    pub(crate) usage_source: OnceLock<servers::UsageSource>,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
 }
@@ -107,7 +107,7 @@
             candidates_revision: AtomicU64::new(0),
             heartbeat_trigger: Notify::new(),
             servers: watch::Sender::new(servers::View::default()),
-            load_source: OnceLock::new(),
+            usage_source: OnceLock::new(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
             settings,
@@ -366,6 +366,7 @@
             revision: registry.revision,
             list,
             in_flight: servers.map(|list| presence.loads(&name, &list)).unwrap_or_default(),
+            rate_limits: if serves_callers { presence.rate_limits(&name) } else { Vec::new() },
             roster: if serves_callers { presence.roster(roster) } else { None },
         };
         Response::HeartbeatReply(Box::new(reply))
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -2,10 +2,11 @@
 //!
 //! An instance is present while its last heartbeat is recent enough.
 
+use crate::clock::millis;
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
 use coordination::routing;
-use protocol::presence::{Heartbeat, Replica, Role, Roster};
+use protocol::presence::{Heartbeat, RateLimit, Replica, Role, Roster};
 use state::collections::Map;
 use state::registry::Registry;
 use std::time::Duration;
@@ -119,6 +120,23 @@
         servers.iter().map(|server| sums.get(server.id.as_str()).copied().unwrap_or(0)).collect()
     }
 
+    /// Returns the newest observations that all entries except `name` reported of backend servers'
+    /// rate limits.
+    pub(crate) fn rate_limits(&self, name: &str) -> Vec<RateLimit> {
+        let mut newest: Map<&str, RateLimit> = Map::default();
+        for instance in self.present(Role::Entry).filter(|i| i.heartbeat.name != name) {
+            let elapsed = millis(instance.received_at.elapsed());
+            for limit in &instance.heartbeat.rate_limits {
+                let age_ms = limit.age_ms + elapsed;
+                let known = newest.get(limit.server.as_str());
+                if known.is_none_or(|known| age_ms < known.age_ms) {
+                    newest.insert(&limit.server, RateLimit { age_ms, ..limit.clone() });
+                }
+            }
+        }
+        newest.into_values().collect()
+    }
+
     /// Returns the state of all instances as JSON, for operators.
     pub(crate) fn dump(&self) -> Vec<serde_json::Value> {
         self.instances
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -1,15 +1,16 @@
 //! Distribution of the backend server list and of the entries' loads.
 //!
 //! The control leader reads the platform's backend server list; the other instances receive
-//! it with the replies to their heartbeats. Entries report their outstanding requests in
-//! heartbeats and receive the sums over the other entries in the replies.
+//! it with the replies to their heartbeats. Entries report their outstanding requests and the
+//! rate limits that they observe in heartbeats. The replies carry the sums of the requests and
+//! the newest limits of the other entries.
 
 use crate::clock::millis;
 use crate::gateway::List;
 use crate::member::node::Member;
 use coordination::placement::Listing;
 use coordination::routing;
-use protocol::presence::{Relay, Update};
+use protocol::presence::{RateLimit, Relay, Update};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,12 +56,23 @@
     earlier: VecDeque<Snapshot>,
     /// Outstanding requests of the other entries, by id of the backend server.
     pub(crate) loads: Arc<Vec<(String, u32)>>,
+    /// Rate limits that other entries observed, as of `relayed_at`.
+    pub(crate) rate_limits: Arc<Vec<RateLimit>>,
     /// Time at which a control instance last relayed the list.
     pub(crate) relayed_at: Option<Instant>,
 }
 
-/// Function that returns the outstanding requests of this instance, by id of the backend server.
-pub(crate) type Loads = Box<dyn Fn() -> Vec<(String, u32)> + Send + Sync>;
+/// What an entry reports of its use of the backend servers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Usage {
+    /// Outstanding requests, by id of the backend server.
+    pub(crate) in_flight: Vec<(String, u32)>,
+    /// Rate limits that it observed lately.
+    pub(crate) rate_limits: Vec<RateLimit>,
+}
+
+/// Function that returns what this instance reports.
+pub(crate) type UsageSource = Box<dyn Fn() -> Usage + Send + Sync>;
 
 impl Snapshot {
     pub(crate) fn new(mut servers: Vec<Listing>, read_at: Instant) -> Self {
@@ -202,9 +214,9 @@
         }
     }
 
-    /// Sets the source of the outstanding requests of this instance.
-    pub(crate) fn set_load_source(&self, load_source: Loads) {
+    /// Sets the source of what this instance reports of its use of the backend servers.
+    pub(crate) fn set_usage_source(&self, source: UsageSource) {
         // An instance has only one gateway, which sets the source once.
-        drop(self.load_source.set(load_source));
+        drop(self.usage_source.set(source));
     }
 }
