fix(gateway): bound the bytes before a response head is complete

Cause: a server that sends interim responses without end occupied an entry's processor until the deadline of the request; hyper bounds one head, not how many it skips. A single endless header was bounded already (502 at once). Change: a connection counts what arrives until the head is complete, 128 KiB at most; then the request counts as possibly executed and the connection is closed. Conclusion: holds for any head; a head that trickles in is still bounded by the deadline only.

--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -12,9 +12,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use state::collections::Map;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -41,10 +46,91 @@
 /// Maximum read buffer of a connection, in bytes: several events, or a short response.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Maximum number of bytes that a server may send before the head of its response is complete,
+/// interim responses included. It covers some body that is read along with the head.
+const HEAD_BYTES: usize = 128 * 1024;
+
 /// An open connection, which is closed when it is dropped.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    allowance: Arc<Allowance>,
+}
+
+/// Number of bytes that a connection may still receive.
+struct Allowance(AtomicUsize);
+
+impl Allowance {
+    /// Allows a response head.
+    fn limit(&self) {
+        self.0.store(HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Allows a body of any length, which its reader limits.
+    fn lift(&self) {
+        self.0.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Deducts received bytes; `false` if there are more than allowed.
+    fn deduct(&self, count: usize) -> bool {
+        let deduct = |left: usize| match left {
+            usize::MAX => Some(left),
+            _ => left.checked_sub(count),
+        };
+        self.0.try_update(Ordering::Relaxed, Ordering::Relaxed, deduct).is_ok()
+    }
+}
+
+/// Stream that fails once the [`Allowance`] is used up.
+struct Metered {
+    stream: TcpStream,
+    allowance: Arc<Allowance>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if self.allowance.deduct(buffer.filled().len() - filled) {
+            return Poll::Ready(Ok(()));
+        }
+        let detail = format!("more than {HEAD_BYTES} bytes without a complete response head");
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, detail)))
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
 }
 
 impl Drop for Connection {
@@ -76,13 +162,15 @@
         }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES).writev(true);
+        let allowance = Arc::new(Allowance(AtomicUsize::new(HEAD_BYTES)));
+        let stream = Metered { stream, allowance: allowance.clone() };
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection to a backend server ended");
             }
         });
-        Some(Self { sender, task: task.abort_handle() })
+        Some(Self { sender, task: task.abort_handle(), allowance })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -93,12 +181,16 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            match error.take_message() {
-                Some(_) => SendError::NotSent,
-                None => SendError::NoResponse(error.into_error().to_string()),
-            }
-        })
+        self.allowance.limit();
+        let response =
+            self.sender.try_send_request(request).await.map_err(|mut error| {
+                match error.take_message() {
+                    Some(_) => SendError::NotSent,
+                    None => SendError::NoResponse(error.into_error().to_string()),
+                }
+            })?;
+        self.allowance.lift();
+        Ok(response)
     }
 }
 
