fix(gateway): bound the body of a relayed response

Change: a body has at most 16 MiB, an event 64 KiB, a stream the events that its request's tokens allow; beyond, the response breaks off (never looks complete), the server counts as failed, and a line with request and server says why. The parser used to drop what was longer than 1 MiB without a word.

--- a/crates/transport/src/gateway/events.rs
+++ b/crates/transport/src/gateway/events.rs
@@ -1,9 +1,21 @@
 //! Incremental parser that counts, and optionally collects, the events of a stream as its
-//! bytes are relayed.
+//! bytes are relayed. It bounds what it holds, since a faulty server may send lines or events
+//! without end.
 
-/// Maximum length of a line that spans several chunks, in bytes; further chunks of a longer line
-/// are dropped. The events of engines are far shorter.
-const LINE_BYTES: usize = 1024 * 1024;
+/// Maximum length of an event, in bytes, with all its lines. Those of engines are far shorter,
+/// and an instance of 88 MB may relay several hundred streams.
+const EVENT_BYTES: usize = 64 * 1024;
+
+/// Reason why a stream is not relayed further.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Excess {
+    /// An event is too long.
+    #[error("an event has more than {EVENT_BYTES} bytes")]
+    Event,
+    /// There are more events than the request may generate.
+    #[error("the stream has more than {0} events")]
+    Count(u64),
+}
 
 /// Parser of a `text/event-stream` body.
 #[derive(Debug, Default)]
@@ -16,17 +28,29 @@
     /// Data of the complete events, each followed by a line feed; empty unless collected.
     pub(crate) content: Vec<u8>,
     collects_data: bool,
+    max_count: u64,
+    /// Length of the current event up to its last complete line, in bytes.
+    event_bytes: usize,
 }
 
 impl Parser {
-    /// Creates a parser, which collects the data of events if `collects_data` is set.
-    pub(crate) fn new(collects_data: bool) -> Self {
-        Self { collects_data, ..Self::default() }
+    /// Creates a parser for at most `max_count` events, which collects their data if
+    /// `collects_data` is set.
+    pub(crate) fn new(max_count: u64, collects_data: bool) -> Self {
+        Self { max_count, collects_data, ..Self::default() }
     }
 
     /// Parses the next bytes of the stream.
-    pub(crate) fn feed(&mut self, mut bytes: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// Returns the limit that the stream exceeds; then it must not be parsed further.
+    pub(crate) fn feed(&mut self, mut bytes: &[u8]) -> Result<(), Excess> {
         while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
+            self.event_bytes += self.line.len() + end;
+            if self.event_bytes > EVENT_BYTES {
+                return Err(Excess::Event);
+            }
             if self.line.is_empty() {
                 self.parse_line(&bytes[..end]);
             } else {
@@ -35,15 +59,21 @@
                 self.parse_line(&line);
             }
             bytes = &bytes[end + 1..];
+            if self.count > self.max_count {
+                return Err(Excess::Count(self.max_count));
+            }
         }
-        if self.line.len() + bytes.len() <= LINE_BYTES {
-            self.line.extend_from_slice(bytes);
+        if self.event_bytes + self.line.len() + bytes.len() > EVENT_BYTES {
+            return Err(Excess::Event);
         }
+        self.line.extend_from_slice(bytes);
+        Ok(())
     }
 
     fn parse_line(&mut self, line: &[u8]) {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         if line.is_empty() {
+            self.event_bytes = 0;
             if let Some(data) = self.data.take() {
                 self.count += 1;
                 if self.collects_data {
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -151,6 +151,8 @@
     draft: Option<Draft>,
     is_stream: bool,
     tokens_per_event: u64,
+    /// Maximum number of events of a stream.
+    max_events: u64,
     deadline: Instant,
 }
 
@@ -203,13 +205,17 @@
             input: body,
             retention: route.retention,
         });
+        let tokens_per_event = tokens_per_event(&table, &service);
+        let max_tokens = metadata.budget.map(|budget| budget.max);
+        let max_events = max_tokens.and_then(|tokens| max_events(tokens, tokens_per_event));
         Ok(Answered {
             response,
             attempt,
             turn,
             draft,
             is_stream: route.is_stream,
-            tokens_per_event: tokens_per_event(&table, &service),
+            tokens_per_event,
+            max_events: max_events.unwrap_or(u64::MAX),
             deadline,
         })
     }
@@ -283,7 +289,7 @@
             headers: original,
             body,
             attempt,
-            events: is_stream.then(|| Parser::new(draft.is_some())),
+            events: is_stream.then(|| Parser::new(answered.max_events, draft.is_some())),
             tokens_per_event: answered.tokens_per_event,
             turn,
             draft,
@@ -298,6 +304,13 @@
     table.service(service).map_or(0, |service| service.tokens_per_event)
 }
 
+/// Returns the number of events that a turn of at most `max_tokens` can have; `None` if that is
+/// unknown.
+fn max_events(max_tokens: u64, tokens_per_event: u64) -> Option<u64> {
+    let is_known = max_tokens > 0 && tokens_per_event > 0;
+    is_known.then(|| max_tokens.div_ceil(tokens_per_event))
+}
+
 async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Error> {
     let collected = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
     match collected {
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -38,11 +38,18 @@
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     DeadlineExceeded,
+    /// The backend server sent more than a response may have.
+    #[error("the backend server sent more than a response may have")]
+    Excess,
     /// The turn could not be recorded in the program journal.
     #[error("the turn could not be recorded")]
     NotRecorded,
 }
 
+/// Maximum length of a response body, in bytes. Without it, a server that sends bytes without end
+/// would occupy the connection of the instance until the deadline of the request.
+const RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Body of a response to a caller.
 pub(crate) enum Body {
     /// Body that the gateway itself has made.
@@ -116,6 +123,8 @@
     pub(crate) timer: Pin<Box<Sleep>>,
     recording: Option<Recording>,
     server: String,
+    /// Number of bytes of the body so far.
+    received: usize,
     has_ended: bool,
     _in_flight: Box<dyn Send + Sync>,
 }
@@ -153,6 +162,7 @@
             timer: Box::pin(tokio::time::sleep_until(params.deadline)),
             recording: None,
             server,
+            received: 0,
             has_ended: false,
             _in_flight: params.in_flight,
         }
@@ -180,11 +190,16 @@
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(frame))) => {
-                if let (Some(events), Some(data)) = (&mut self.events, frame.data_ref()) {
-                    events.feed(data);
-                    if let Some(turn) = &mut self.turn {
-                        turn.tokens = events.count * self.tokens_per_event;
-                    }
+                if let Some(data) = frame.data_ref()
+                    && let Err(detail) = self.inspect(data)
+                {
+                    tracing::warn!(
+                        request = self.progress.id,
+                        server = self.server,
+                        detail,
+                        "response body given up"
+                    );
+                    return Poll::Ready(Some(Err(self.abort(Abort::Excess))));
                 }
                 if self.draft.is_none() && self.body.is_end_stream() {
                     // The server does not poll again after the last byte of a body whose
@@ -201,6 +216,25 @@
         }
     }
 
+    /// Counts the bytes and events of the next part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the limit that the body exceeds.
+    fn inspect(&mut self, data: &[u8]) -> Result<(), String> {
+        self.received += data.len();
+        if self.received > RESPONSE_BYTES {
+            return Err(format!("the body has more than {RESPONSE_BYTES} bytes"));
+        }
+        if let Some(events) = &mut self.events {
+            events.feed(data).map_err(|excess| excess.to_string())?;
+            if let Some(turn) = &mut self.turn {
+                turn.tokens = events.count * self.tokens_per_event;
+            }
+        }
+        Ok(())
+    }
+
     /// Handles the end of the backend server's body: starts recording the turn if it is to be
     /// retained and the response is a success, otherwise ends the request.
     fn complete(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
@@ -240,7 +274,7 @@
     /// Ends the request early; the connection to the backend server is closed.
     fn abort(&mut self, abort: Abort) -> Abort {
         if let Some(attempt) = self.attempt.take() {
-            let is_server = abort == Abort::Server;
+            let is_server = matches!(abort, Abort::Server | Abort::Excess);
             attempt.end(if is_server { Outcome::Failed } else { Outcome::Cancelled });
         }
         self.turn = None;
@@ -248,6 +282,7 @@
             Abort::Caller => "caller left",
             Abort::Server => "server broke off",
             Abort::DeadlineExceeded => "time is over",
+            Abort::Excess => "server sent too much",
             Abort::NotRecorded => "not recorded",
         });
         abort
