fix(gateway): bound the rest of a refusal that is read

Cause: the body of a refusal was collected for 50 ms to use the connection again; a server without end could send 45 MB in that. Change: 16 KiB at most, then the connection is closed.

--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use coordination::placement::{Outcome, Query};
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use protocol::routes::{Retry, Route};
 use state::error::Kind;
@@ -44,6 +44,10 @@
 /// can be reused.
 const BODY_DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Maximum length of the rest of a refusal that is read, in bytes. The connection is closed if
+/// there is more.
+const BODY_DRAIN_BYTES: usize = 16 * 1024;
+
 /// An outbound request, with what its attempts have in common.
 pub(super) struct Outbound<'a> {
     pub(super) metadata: &'a Metadata,
@@ -270,7 +274,8 @@
             attempt.end(Outcome::Failed);
             return AttemptResult::NoResponse("the response belongs to another request".to_owned());
         }
-        let drained = tokio::time::timeout(BODY_DRAIN_TIMEOUT, body.collect()).await;
+        let rest = Limited::new(body, BODY_DRAIN_BYTES).collect();
+        let drained = tokio::time::timeout(BODY_DRAIN_TIMEOUT, rest).await;
         if matches!(drained, Ok(Ok(_)))
             && let Some(connection) = attempt.connection.take()
         {
