feat(gateway): requests wait in order and are rejected on arrival if they can't be served

Change: coordination::waiting orders what waits for a service by priority, then programs under way, then arrival; a request whose class left the queue too slowly lately is rejected on arrival with the expected wait (jittered, 1 s at most). Servers get up to 150 % of their slots (a program's own server 200 %, as before). Gauge waiting; 'request sent' logs the load.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod retry;
 pub mod routing;
+pub mod waiting;
 
 /// Time since an arbitrary origin, in milliseconds; it never decreases.
 pub type Millis = u64;
--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -195,12 +195,12 @@
         }
     }
 
-    /// Time until the own instance may send the server `count` requests, in milliseconds; `None` if
-    /// it holds no share of the limit.
-    pub fn wait(&self, now: Millis, count: u32) -> Option<Millis> {
+    /// Number of requests that the own instance may send to the server now; `u32::MAX` without a
+    /// limit.
+    pub fn permits(&self, now: Millis) -> u32 {
         match &self.permits {
-            Some(permits) if self.per_second(now).is_some() => permits.wait(now, count),
-            _ => Some(0),
+            Some(permits) if self.per_second(now).is_some() => permits.available(now),
+            _ => u32::MAX,
         }
     }
 
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -30,6 +30,10 @@
     /// wait for a slot is shorter than computing the program's context again, which would also
     /// delay all other requests on the new server.
     pub stay_percent: u32,
+    /// Load from which a server is sent no further requests, in percent of the slots, except those
+    /// that stay on it. More would only wait there, regardless of priorities; engines admit several
+    /// times their slots.
+    pub full_percent: u32,
     /// Load from which a server counts as crowded, in percent of the slots: then more servers
     /// than the two chosen ones, and servers of other failure domains, are considered. Below it
     /// an engine's steps take little longer than for a single request.
@@ -51,6 +55,7 @@
     fn default() -> Self {
         Self {
             stay_percent: 200,
+            full_percent: 150,
             spill_percent: 75,
             spill_margin_percent: 25,
             suspend_ms: 250,
@@ -134,9 +139,7 @@
 
     /// Whether it may be chosen at `now`.
     pub fn is_available(&self, now: Millis) -> bool {
-        !self.listed.is_draining
-            && self.suspended_until <= now
-            && self.limit.wait(now, 1) == Some(0)
+        !self.listed.is_draining && self.suspended_until <= now && self.limit.permits(now) > 0
     }
 }
 
@@ -271,6 +274,23 @@
         unattempted.any(|server| server.is_available(now) && server.load() < server.listed.slots)
     }
 
+    /// Number of requests that can be placed now, `u32::MAX` at most.
+    pub fn room(&self, now: Millis, query: &Query<'_>) -> u32 {
+        let ids = self.by_service.get(query.service).into_iter().flatten();
+        let servers = ids.filter_map(|id| self.servers.get(id));
+        let available =
+            servers.filter(|s| s.is_available(now) && !query.attempted.contains(&s.listed.id));
+        available.fold(0, |sum, server| sum.saturating_add(self.room_on(server, now, query)))
+    }
+
+    /// Number of requests that can be placed on an available server now.
+    fn room_on(&self, server: &Server, now: Millis, query: &Query<'_>) -> u32 {
+        let is_last = query.last_server == Some(server.listed.id.as_str());
+        let percent = if is_last { self.settings.stay_percent } else { self.settings.full_percent };
+        let slots = server.listed.slots.saturating_mul(percent) / 100;
+        slots.saturating_sub(server.load()).min(server.limit.permits(now))
+    }
+
     /// Chooses a server, or `None` if none is available.
     ///
     /// [`Fleet::begin`] must be called before another request is placed.
@@ -280,6 +300,7 @@
             .iter()
             .filter_map(|id| self.servers.get(id))
             .filter(|s| s.is_available(now) && !query.attempted.contains(&s.listed.id))
+            .filter(|s| self.room_on(s, now, query) > 0)
             .collect();
         let last_server =
             available.iter().find(|s| query.last_server == Some(s.listed.id.as_str()));
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -83,14 +83,9 @@
         self.tokens = self.tokens.min(burst);
     }
 
-    /// Time until `count` permits have been available one after the other, in milliseconds;
-    /// `None` if the rate is 0.
-    pub fn wait(&self, now: Millis, count: u32) -> Option<Millis> {
-        if self.per_second <= 0.0 {
-            return None;
-        }
-        let missing = f64::from(count) - self.tokens_at(now);
-        Some((missing.max(0.0) / self.per_second * 1_000.0).ceil() as Millis)
+    /// Number of permits that are available at `now`; none if the rate is 0.
+    pub fn available(&self, now: Millis) -> u32 {
+        if self.per_second > 0.0 { self.tokens_at(now) as u32 } else { 0 }
     }
 
     fn tokens_at(&self, now: Millis) -> f64 {
--- a/crates/coordination/tests/limit.rs
+++ b/crates/coordination/tests/limit.rs
@@ -200,13 +200,20 @@
     let mut entries = Load::default().fleets();
     let entry = &mut entries[0];
     entry.observe_limit("s0", Observation { per_second: Some(8.0), at: 0 });
-    let per_second = |entry: &Fleet, now| {
-        // After a burst is used up, the time to the next permit shows the share.
+    // The permits of one second, after those that were saved up, show the share.
+    let per_second = |entry: &Fleet, from: u64| {
         let mut entry = entry.clone();
-        while is_available(&entry, now) {
-            entry.begin(now, "s0");
+        while is_available(&entry, from) {
+            entry.begin(from, "s0");
         }
-        1_000 / entry.get("s0").unwrap().limit.wait(now, 1).unwrap_or(u64::MAX).max(1)
+        let take = |now: &u64| {
+            let is_available = is_available(&entry, *now);
+            if is_available {
+                entry.begin(*now, "s0");
+            }
+            is_available
+        };
+        (from..from + 1_050).filter(take).count()
     };
     assert_eq!(per_second(entry, 1_000), 1);
     entry.set_sharers(1_000, ["e0"].into_iter());
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -18,10 +18,12 @@
 use coordination::limit::Observation;
 use coordination::placement::{self, Fleet};
 use coordination::retry::Budget;
+use coordination::waiting::Queue;
 use http::response;
 use protocol::presence::{RateLimit, Roster};
 use protocol::routes::Table;
 use rand::RngExt;
+use state::collections::Map;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -89,6 +91,8 @@
     pub(crate) records: Records,
     pub(crate) under_way: AtomicUsize,
     pub(crate) retries: Mutex<Budget>,
+    /// Requests that wait for a backend server, by service. It is locked after `fleet`.
+    pub(crate) queues: Mutex<Map<String, Queue>>,
     /// Whether the last request to the program journal failed.
     pub(crate) is_journal_unreachable: AtomicBool,
     /// Digest of the list that was last applied to the fleet, or 0.
@@ -127,6 +131,7 @@
             records: Records::default(),
             under_way: AtomicUsize::new(0),
             retries: Mutex::default(),
+            queues: Mutex::default(),
             is_journal_unreachable: AtomicBool::new(false),
             list_digest: AtomicU64::new(0),
             table: RwLock::new(None),
@@ -205,9 +210,11 @@
         Some(Usage { in_flight: fleet.local_loads(), rate_limits })
     }
 
-    /// Returns the rate limit of a backend server as known to this instance.
-    pub(crate) fn rate_limit(&self, server: &str) -> Option<f64> {
-        self.fleet.lock().ok()?.get(server)?.limit.per_second(self.now())
+    /// Returns the load of a backend server and its rate limit, as known to this instance.
+    pub(crate) fn load_and_limit(&self, server: &str) -> (u32, Option<f64>) {
+        let fleet = self.fleet.lock().ok();
+        let server = fleet.as_ref().and_then(|fleet| fleet.get(server));
+        server.map_or((0, None), |s| (s.load(), s.limit.per_second(self.now())))
     }
 
     /// Applies the rate limit that a backend server announces with a response.
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) connections: Counter,
     pub(crate) list_reads: Family<Label, Counter>,
     pub(crate) limited_servers: Gauge,
+    pub(crate) waiting: Gauge,
 }
 
 fn latency() -> Histogram {
@@ -58,6 +59,8 @@
         let limited_servers = Gauge::default();
         let help = "Backend servers that announce a rate limit";
         registry.register("limited_servers", help, limited_servers.clone());
+        let waiting = Gauge::default();
+        registry.register("waiting", "Requests that wait for a backend server", waiting.clone());
         Self {
             registry,
             requests,
@@ -69,6 +72,7 @@
             connections,
             list_reads,
             limited_servers,
+            waiting,
         }
     }
 
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod server;
 mod stories;
 mod turns;
+mod waiter;
 
 pub use dialect::{Adapter, Budget, Dispatch, Metadata, Refusal, Verdict};
 pub use entry::{Entry, Settings};
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -10,12 +10,15 @@
 use crate::gateway::flow::{Error, Handler, RETRY_AFTER};
 use crate::gateway::headers;
 use crate::gateway::pool::SendError;
+use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
 use coordination::placement::{Outcome, Query};
+use coordination::waiting::{Class, Ticket};
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use protocol::routes::{Retry, Route};
+use rand::RngExt;
 use state::error::Kind;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -24,6 +27,10 @@
 /// They do not execute the request and do not count as attempts.
 const MAX_SKIPPED: u32 = 3;
 
+/// Maximum retry time in refusals for lack of a usable server. Callers honour a third of their
+/// remaining time at most.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Pause before placement is tried again if no server is usable: a few steps of an engine.
 const PLACEMENT_RETRY_PAUSE: Duration = Duration::from_millis(15);
 
@@ -128,8 +135,19 @@
         Refusal::retryable(Kind::Overloaded, RETRY_AFTER, detail).into()
     }
 
+    /// Returns a refusal of a request that was not executed and would have to wait for `expected`.
+    fn refuse_for(&self, detail: &str, expected: Duration) -> Error {
+        if self.may_have_executed {
+            return self.refuse(detail);
+        }
+        // The jitter keeps callers that were refused together from returning together.
+        let pause = expected.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
+        let pause = pause.mul_f64(rand::rng().random_range(0.75..1.25));
+        Refusal::retryable(Kind::Overloaded, pause, detail).into()
+    }
+
     /// Chooses a backend server and begins an attempt there; waits for a limited time if none is
-    /// usable.
+    /// usable, unless the wait is expected to be longer.
     async fn choose_server(
         &mut self,
         outbound: &Outbound<'_>,
@@ -143,23 +161,56 @@
             last_server: outbound.last_server,
             attempted,
         };
-        let remaining = outbound.deadline.saturating_duration_since(Instant::now());
-        let placement_deadline = Instant::now() + remaining.mul_f64(PLACEMENT_SHARE);
-        loop {
-            let now = self.entry.now();
-            if let Ok(mut fleet) = self.entry.fleet.lock() {
-                self.progress.list_age_ms = fleet.list_age(now).unwrap_or(0);
-                if let Some(server) = fleet.choose(now, &query).cloned() {
-                    fleet.begin(now, &server.id);
-                    return Ok(Attempt::new(&self.entry, server));
-                }
-            }
-            if Instant::now() >= placement_deadline {
-                let detail = format!("no backend server of service {} is usable", outbound.service);
-                return Err(self.refuse(&detail));
+        let is_new = outbound.route.is_stream && outbound.last_server.is_none();
+        let class = Class { priority: outbound.route.priority, is_new };
+        if let Some(attempt) = self.place(&query, class, None) {
+            return Ok(attempt);
+        }
+        let arrived = Instant::now();
+        let remaining = outbound.deadline.saturating_duration_since(arrived);
+        let limit = remaining.mul_f64(PLACEMENT_SHARE);
+        let waiter = match Waiter::join(&self.entry, outbound.service, class, limit) {
+            Ok(waiter) => waiter,
+            Err(expected) => {
+                let (service, ms) = (outbound.service, millis(expected));
+                let detail =
+                    format!("no backend server of service {service} is usable for {ms} ms");
+                return Err(self.refuse_for(&detail, expected));
             }
+        };
+        while arrived.elapsed() < limit {
             tokio::time::sleep(PLACEMENT_RETRY_PAUSE).await;
+            if let Some(attempt) = self.place(&query, class, Some(waiter.ticket)) {
+                return Ok(attempt);
+            }
+        }
+        let detail = format!("no backend server of service {} is usable", outbound.service);
+        Err(self.refuse(&detail))
+    }
+
+    /// Begins an attempt on a backend server, if there is room for the request after those that
+    /// go before it.
+    fn place(
+        &mut self,
+        query: &Query<'_>,
+        class: Class,
+        ticket: Option<Ticket>,
+    ) -> Option<Attempt> {
+        let now = self.entry.now();
+        let mut fleet = self.entry.fleet.lock().ok()?;
+        self.progress.list_age_ms = fleet.list_age(now).unwrap_or(0);
+        let mut queues = self.entry.queues.lock().ok()?;
+        let ahead = queues.get(query.service).map_or(0, |queue| match ticket {
+            Some(ticket) => queue.ahead(ticket),
+            None => queue.ahead_of(class),
+        });
+        if fleet.room(now, query) as usize <= ahead {
+            return None;
         }
+        let server = fleet.choose(now, query)?.clone();
+        fleet.begin(now, &server.id);
+        queues.entry(query.service.to_owned()).or_default().depart(now, class);
+        Some(Attempt::new(&self.entry, server))
     }
 
     /// Makes one attempt. If a pooled connection turns out to be closed before
@@ -188,12 +239,13 @@
             let Some(request) = self.build_request(outbound, &dispatch) else {
                 return AttemptResult::Unavailable;
             };
-            let rate_limit = self.entry.rate_limit(&id);
+            let (load, rate_limit) = self.entry.load_and_limit(&id);
             tracing::info!(
                 request = outbound.metadata.id,
                 server = id,
                 address,
                 is_last_server = outbound.last_server == Some(id.as_str()),
+                load,
                 rate_limit,
                 attempt = self.progress.attempts + 1,
                 new_connection = is_new,
