fix(gateway): programs under way are delayed by new ones beyond the capacity

Cause: under limits below the load new programs took every place that got free, and those under way were late: of the programs begun few ended in time; an under-way turn was rejected because its own class alone had not left the queue lately. Change: new programs get servers up to 60 % of their slots, programs under way 125 %; room is kept for the turns that a tenth of a second of them brings; a new program waits a tenth of its time, not 0.3; the expected wait counts the departures of later classes, too.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -34,6 +34,9 @@
     /// that stay on it. More would only wait there, regardless of priorities; engines admit several
     /// times their slots.
     pub full_percent: u32,
+    /// Load from which a server is sent no new programs, in percent of the slots. The difference to
+    /// `full_percent` is kept for programs under way.
+    pub full_for_new_percent: u32,
     /// Load from which a server counts as crowded, in percent of the slots: then more servers
     /// than the two chosen ones, and servers of other failure domains, are considered. Below it
     /// an engine's steps take little longer than for a single request.
@@ -55,7 +58,8 @@
     fn default() -> Self {
         Self {
             stay_percent: 200,
-            full_percent: 150,
+            full_percent: 125,
+            full_for_new_percent: 60,
             spill_percent: 75,
             spill_margin_percent: 25,
             suspend_ms: 250,
@@ -106,6 +110,8 @@
     pub session: Option<&'a str>,
     /// Identifier of the server that executed the session's last request.
     pub last_server: Option<&'a str>,
+    /// Whether the request begins a program.
+    pub is_new: bool,
     /// Identifiers of the servers that have been attempted and are not chosen again.
     pub attempted: &'a [String],
 }
@@ -286,7 +292,11 @@
     /// Number of requests that can be placed on an available server now.
     fn room_on(&self, server: &Server, now: Millis, query: &Query<'_>) -> u32 {
         let is_last = query.last_server == Some(server.listed.id.as_str());
-        let percent = if is_last { self.settings.stay_percent } else { self.settings.full_percent };
+        let percent = match (is_last, query.is_new) {
+            (true, _) => self.settings.stay_percent,
+            (false, false) => self.settings.full_percent,
+            (false, true) => self.settings.full_for_new_percent,
+        };
         let slots = server.listed.slots.saturating_mul(percent) / 100;
         slots.saturating_sub(server.load()).min(server.limit.permits(now))
     }
--- a/crates/coordination/src/waiting.rs
+++ b/crates/coordination/src/waiting.rs
@@ -6,9 +6,9 @@
 //! would wait longer than it may is rejected on arrival, so that its caller can turn elsewhere or
 //! come back in time.
 //!
-//! The expected wait follows from the rate at which requests of the same class were sent lately.
-//! The first ones of a class always wait, since only that shows whether the class is served
-//! again.
+//! The expected wait follows from the rate at which requests of the same class, and of those that
+//! go after it, were sent lately. The first ones of a class always wait, since only that shows
+//! whether the class is served again.
 //!
 //! Load pattern: the servers of a service together accept less than callers send for many
 //! seconds, because of rate limits, failures or a burst.
@@ -20,6 +20,10 @@
 /// Length of the interval over which departures are counted, in milliseconds.
 const WINDOW_MS: Millis = 1_000;
 
+/// Time of arrivals of programs under way for which room is kept free of new programs, in
+/// milliseconds.
+const RESERVE_MS: Millis = 100;
+
 /// Number of requests of a class that wait whatever the rate. An instance that gets few requests
 /// has too few departures to estimate a rate from.
 const MIN_WAITING: usize = 2;
@@ -83,7 +87,7 @@
     pub fn join(&mut self, now: Millis, class: Class, limit: Millis) -> Result<Ticket, Millis> {
         let ahead = self.waiting.iter().filter(|ticket| ticket.class == class).count();
         if ahead >= MIN_WAITING {
-            let departures = self.departures.get(&class).map_or(0.0, |d| d.count(now));
+            let departures = self.sent(now, |other| other >= class);
             let expected = (ahead + 1) as f64 / departures.max(1.0) * WINDOW_MS as f64;
             if expected > limit as f64 {
                 return Err(expected as Millis);
@@ -95,14 +99,25 @@
         Ok(ticket)
     }
 
-    /// Number of requests that go before one of this class that arrives now.
-    pub fn ahead_of(&self, class: Class) -> usize {
-        self.waiting.iter().take_while(|ticket| ticket.class <= class).count()
+    /// Number of requests for which there must be room before the one with this ticket is sent, or
+    /// one of this class that arrives at `now`: those that go before it, and for a new program also
+    /// those of programs under way that are expected soon.
+    pub fn ahead(&self, now: Millis, class: Class, ticket: Option<Ticket>) -> usize {
+        let waiting = match ticket {
+            Some(ticket) => self.waiting.range(..ticket).count(),
+            None => self.waiting.iter().take_while(|ticket| ticket.class <= class).count(),
+        };
+        if !class.is_new {
+            return waiting;
+        }
+        let under_way = self.sent(now, |class| !class.is_new);
+        waiting + (under_way * RESERVE_MS as f64 / WINDOW_MS as f64) as usize
     }
 
-    /// Number of requests that go before this one.
-    pub fn ahead(&self, ticket: Ticket) -> usize {
-        self.waiting.range(..ticket).count()
+    /// Number of requests of the selected classes that were sent during the last window.
+    fn sent(&self, now: Millis, is_selected: impl Fn(Class) -> bool) -> f64 {
+        let selected = self.departures.iter().filter(|(class, _)| is_selected(**class));
+        selected.map(|(_, departures)| departures.count(now)).sum()
     }
 
     /// Records that a request of this class was sent, after it waited or at once.
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -13,3 +13,4 @@
 mod retry;
 mod routing;
 mod util;
+mod waiting;
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -39,6 +39,10 @@
 /// refusal: a program ends when a call of it is refused twice.
 const PLACEMENT_SHARE: f64 = 0.3;
 
+/// The same for a request that begins a program. The time of the whole program runs while it
+/// waits, so it should rather come back or go elsewhere soon.
+const NEW_PLACEMENT_SHARE: f64 = 0.1;
+
 /// Timeout of an attempt that may be repeated, as a multiple of the route's latency
 /// objective. It admits responses that are slightly late but still useful, and leaves time
 /// for a second server.
@@ -155,20 +159,22 @@
     ) -> Result<Attempt, Error> {
         let session = outbound.metadata.program.as_deref().or(outbound.metadata.session.as_deref());
         let session = session.filter(|_| outbound.route.is_sticky);
+        let is_new = outbound.route.is_stream && outbound.last_server.is_none();
         let query = Query {
             service: outbound.service,
             session,
             last_server: outbound.last_server,
+            is_new,
             attempted,
         };
-        let is_new = outbound.route.is_stream && outbound.last_server.is_none();
         let class = Class { priority: outbound.route.priority, is_new };
         if let Some(attempt) = self.place(&query, class, None) {
             return Ok(attempt);
         }
         let arrived = Instant::now();
         let remaining = outbound.deadline.saturating_duration_since(arrived);
-        let limit = remaining.mul_f64(PLACEMENT_SHARE);
+        let share = if is_new { NEW_PLACEMENT_SHARE } else { PLACEMENT_SHARE };
+        let limit = remaining.mul_f64(share);
         let waiter = match Waiter::join(&self.entry, outbound.service, class, limit) {
             Ok(waiter) => waiter,
             Err(expected) => {
@@ -200,10 +206,8 @@
         let mut fleet = self.entry.fleet.lock().ok()?;
         self.progress.list_age_ms = fleet.list_age(now).unwrap_or(0);
         let mut queues = self.entry.queues.lock().ok()?;
-        let ahead = queues.get(query.service).map_or(0, |queue| match ticket {
-            Some(ticket) => queue.ahead(ticket),
-            None => queue.ahead_of(class),
-        });
+        let queue = queues.get(query.service);
+        let ahead = queue.map_or(0, |queue| queue.ahead(now, class, ticket));
         if fleet.room(now, query) as usize <= ahead {
             return None;
         }
