fix(placement): stale loads of other instances must not keep requests from a server

Cause: found by reading: since loads gate the choice, an entry that is cut off from control would go on refusing for loads that the others reported before the cut. Change: reported loads count for 1.5 s. Measured: placement::stale_loads_of_other_instances_keep_all_requests_from_a_server passes; without the age check it fails, as loads never expired. Conclusion: an isolated entry gates by its own requests only.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -22,6 +22,11 @@
 use serde::{Deserialize, Serialize};
 use state::collections::Map;
 
+/// Age up to which the reported loads of other instances count as occupied slots, in milliseconds:
+/// several heartbeats. Beyond, an instance that is cut off would refuse requests for loads that
+/// ended long ago.
+const REMOTE_LOAD_MAX_AGE_MS: Millis = 1_500;
+
 /// Thresholds of the placement decision and durations of suspensions.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -179,6 +184,8 @@
     by_service: Map<String, Vec<String>>,
     listed_at: Option<Millis>,
     sharers: Sharers,
+    /// Time of the last report of the other instances' loads.
+    loads_at: Millis,
 }
 
 impl Fleet {
@@ -191,6 +198,7 @@
             by_service: Map::default(),
             listed_at: None,
             sharers: Sharers::new(address),
+            loads_at: 0,
         }
     }
 
@@ -239,8 +247,10 @@
         self.listed_at = Some(now);
     }
 
-    /// Replaces the numbers of requests that the other instances have outstanding on each server.
-    pub fn set_remote_loads(&mut self, loads: &[(String, u32)]) {
+    /// Replaces the numbers of requests that the other instances have outstanding on each server,
+    /// as reported at `now`.
+    pub fn set_remote_loads(&mut self, now: Millis, loads: &[(String, u32)]) {
+        self.loads_at = now;
         for server in self.servers.values_mut() {
             server.remote_outstanding = 0;
         }
@@ -298,7 +308,9 @@
             (false, true) => self.settings.full_for_new_percent,
         };
         let slots = server.listed.slots.saturating_mul(percent) / 100;
-        slots.saturating_sub(server.load()).min(server.limit.permits(now))
+        let is_recent = now < self.loads_at + REMOTE_LOAD_MAX_AGE_MS;
+        let load = if is_recent { server.load() } else { server.outstanding };
+        slots.saturating_sub(load).min(server.limit.permits(now))
     }
 
     /// Chooses a server, or `None` if none is available.
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -68,10 +68,10 @@
 fn requests_of_other_instances_count_as_load() {
     let mut fleet = fleet(&[("s1", "a"), ("s2", "a"), ("s3", "a")]);
     let first = choose(&fleet, 0, Some("session")).unwrap();
-    fleet.set_remote_loads(&[(first.clone(), 3), ("unknown".into(), 9)]);
+    fleet.set_remote_loads(0, &[(first.clone(), 3), ("unknown".into(), 9)]);
     assert_ne!(choose(&fleet, 0, Some("session")).unwrap(), first);
     assert_ne!(choose(&fleet, 0, None).unwrap(), first);
-    fleet.set_remote_loads(&[]);
+    fleet.set_remote_loads(0, &[]);
     assert_eq!(choose(&fleet, 0, Some("session")).unwrap(), first);
     fleet.begin(0, &first);
     assert_eq!(fleet.local_loads(), [(first, 1)]);
@@ -107,7 +107,7 @@
                 for (id, load) in others.flat_map(|(_, loads)| loads) {
                     sums.iter_mut().filter(|(name, _)| name == id).for_each(|(_, s)| *s += load);
                 }
-                entry.set_remote_loads(&sums);
+                entry.set_remote_loads(0, &sums);
             }
         }
     }
@@ -169,3 +169,24 @@
     fleet.update(10, vec![Listing { address: "elsewhere:80".into(), ..listed("s1", "a") }]);
     assert_eq!(choose(&fleet, 10, None).unwrap(), "s1");
 }
+
+#[test]
+fn stale_loads_of_other_instances_keep_all_requests_from_a_server() {
+    let mut fleet = fleet(&[("s1", "a")]);
+    fleet.set_remote_loads(0, &[("s1".into(), 9)]);
+    assert_eq!(choose(&fleet, 1_000, None), None, "nine requests on four slots");
+    assert_eq!(choose(&fleet, 2_000, None).unwrap(), "s1", "no report for two seconds");
+}
+
+#[test]
+fn requests_beyond_the_slots_wait_on_the_server_instead_of_the_entry() {
+    let mut fleet = fleet(&[("s1", "a")]);
+    let room =
+        |fleet: &Fleet, query: Query<'_>| fleet.room(0, &Query { service: "model", ..query });
+    assert_eq!(room(&fleet, Query { is_new: true, ..Query::default() }), 2);
+    assert_eq!(room(&fleet, Query::default()), 5);
+    assert_eq!(room(&fleet, Query { last_server: Some("s1"), ..Query::default() }), 8);
+    (0..5).for_each(|_| fleet.begin(0, "s1"));
+    assert_eq!(choose(&fleet, 0, None), None);
+    assert_eq!(choose_with_last(&fleet, "s1"), "s1");
+}
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -304,7 +304,7 @@
                 self.apply_list(snapshot);
             }
             if let Ok(mut fleet) = self.fleet.lock() {
-                fleet.set_remote_loads(&view.loads);
+                fleet.set_remote_loads(self.now(), &view.loads);
                 self.apply_relayed_limits(&mut fleet, &view);
             }
         }
