feat(gateway): log software versions of backend servers and the stream that a request takes up

Change: the list's Version and the headers Last-Event-Id and Resumes are decoded; request sent and the changes of the list show them. No decision uses them.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -89,6 +89,8 @@
     pub slots: u32,
     /// Whether it is about to stop and must not be sent new requests.
     pub is_draining: bool,
+    /// Version of its software. Servers of several versions may provide one service.
+    pub software_version: String,
 }
 
 /// How an attempt on a backend server ended.
@@ -157,10 +159,10 @@
 /// A difference between two consecutive lists.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
-    /// The server with this identifier accepts requests of this service.
-    Ready(String, String),
-    /// The server with this identifier, of this service, is about to stop.
-    Draining(String, String),
+    /// The server accepts requests.
+    Ready(Listing),
+    /// The server is about to stop.
+    Draining(Listing),
     /// The server with this identifier is no longer listed.
     Gone(String),
 }
@@ -168,8 +170,12 @@
 impl std::fmt::Display for Change {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Ready(id, service) => write!(f, "{id} of {service} is ready"),
-            Self::Draining(id, service) => write!(f, "{id} of {service} is draining"),
+            Self::Ready(Listing { id, service, software_version, .. }) => {
+                write!(f, "{id} of {service} is ready with version {software_version}")
+            }
+            Self::Draining(Listing { id, service, .. }) => {
+                write!(f, "{id} of {service} is draining")
+            }
             Self::Gone(id) => write!(f, "{id} is gone"),
         }
     }
@@ -215,10 +221,9 @@
             let old = self.servers.remove(&listed.id);
             let was_draining = old.as_ref().map(|old| old.listed.is_draining);
             if was_draining != Some(listed.is_draining) {
-                let (id, service) = (listed.id.clone(), listed.service.clone());
                 changes.push(match listed.is_draining {
-                    true => Change::Draining(id, service),
-                    false => Change::Ready(id, service),
+                    true => Change::Draining(listed.clone()),
+                    false => Change::Ready(listed.clone()),
                 });
             }
             let server = match old.filter(|old| old.listed.address == listed.address) {
--- a/crates/coordination/tests/limit.rs
+++ b/crates/coordination/tests/limit.rs
@@ -86,6 +86,7 @@
             failure_domain: "a".into(),
             slots: 16,
             is_draining: false,
+            software_version: "v1".into(),
         };
         let names: Vec<String> = (0..self.entries).map(|n| format!("e{n}")).collect();
         let fleet = |name: &String| {
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -10,6 +10,7 @@
         failure_domain: domain.into(),
         slots: 4,
         is_draining: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/protocol/tests/presence.rs
+++ b/crates/protocol/tests/presence.rs
@@ -11,6 +11,7 @@
         failure_domain: "a".into(),
         slots: 4,
         is_draining,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -28,6 +28,16 @@
     pub budget: Option<Budget>,
     /// Id of the turn that this request continues from.
     pub previous: Option<String>,
+    /// Stream that this request takes up after it broke off.
+    pub resumption: Option<Resumption>,
+}
+
+/// Stream that a request takes up.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the request that brought the first event of the stream; `None` if the caller does
+    /// not name it.
+    pub origin: Option<String>,
 }
 
 /// Token limits of a program and of one of its turns.
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 mod turns;
 mod waiter;
 
-pub use dialect::{Adapter, Budget, Dispatch, Metadata, Refusal, Verdict};
+pub use dialect::{Adapter, Budget, Dispatch, Metadata, Refusal, Resumption, Verdict};
 pub use entry::{Entry, Settings};
 pub use list::{List, ListError, ListFuture};
 pub use stories::Record;
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -226,6 +226,9 @@
         attempted: &[String],
     ) -> AttemptResult {
         let (id, address) = (attempt.server.id.clone(), attempt.server.address.clone());
+        let server_version = attempt.server.software_version.clone();
+        let resumption = outbound.metadata.resumption.as_ref();
+        let resumes = resumption.map(|resumption| resumption.origin.as_deref().unwrap_or_default());
         loop {
             let Some((connection, is_new)) = self.entry.pool.get(&address).await else {
                 attempt.end(Outcome::Failed);
@@ -248,6 +251,8 @@
                 request = outbound.metadata.id,
                 server = id,
                 address,
+                server_version,
+                resumes,
                 is_last_server = outbound.last_server == Some(id.as_str()),
                 load,
                 rate_limit,
