fix(gateway): a stream goes on only at the software version that began it

A request that takes up a stream was placed like a first one: entries decoded neither versions nor the headers of a resumption, and the server that broke off a stream is suspended, so the request went to another one. Ruled out: affinity to an older turn (the test has none), a wrong version in the list (no version was known at all). Only if the request goes to another version than the recorded one, the change is committed first, by compare and set. A request that takes up a stream is placed on servers of that version only, if need be on a suspended one. It is refused at once, not executed and without a retry time, if the version has no server, the first request is not known, or the configuration no longer allows the service. Callers that don't name the first request go on only while the service has one version. Conclusion: the version is known wherever the request arrives, also after the entry that began the stream was killed.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -121,6 +121,20 @@
     pub is_new: bool,
     /// Identifiers of the servers that have been attempted and are not chosen again.
     pub attempted: &'a [String],
+    /// Software version that the server must have; `None` for any.
+    pub software_version: Option<&'a str>,
+    /// Whether the request takes up a stream, which servers of other versions cannot do.
+    pub is_resumption: bool,
+}
+
+impl Query<'_> {
+    /// Whether a listed server, which may be unavailable now, satisfies the requirements.
+    fn admits(&self, server: &Server) -> bool {
+        let listed = &server.listed;
+        let has_version =
+            self.software_version.is_none_or(|version| version == listed.software_version);
+        !listed.is_draining && has_version && !self.attempted.contains(&listed.id)
+    }
 }
 
 /// Local state of one backend server.
@@ -181,6 +195,15 @@
     }
 }
 
+/// Software versions of the listed servers of one service.
+#[derive(Debug, Clone, Default)]
+struct Versions {
+    /// Sorted, without duplicates.
+    current: Vec<String>,
+    /// Time at which a list last showed other versions than the one before; `None` if none did.
+    changed_at: Option<Millis>,
+}
+
 /// One instance's view of the listed backend servers.
 #[derive(Debug, Clone)]
 pub struct Fleet {
@@ -188,6 +211,7 @@
     failure_domain: String,
     servers: Map<String, Server>,
     by_service: Map<String, Vec<String>>,
+    versions_by_service: Map<String, Versions>,
     listed_at: Option<Millis>,
     sharers: Sharers,
     /// Time of the last report of the other instances' loads.
@@ -202,6 +226,7 @@
             failure_domain: failure_domain.to_owned(),
             servers: Map::default(),
             by_service: Map::default(),
+            versions_by_service: Map::default(),
             listed_at: None,
             sharers: Sharers::new(address),
             loads_at: 0,
@@ -243,10 +268,32 @@
         changes.extend(std::mem::take(&mut self.servers).into_keys().map(Change::Gone));
         self.servers = servers;
         self.by_service = by_service;
+        self.update_versions(now);
         self.listed_at = Some(now);
         changes
     }
 
+    /// Records which software versions the servers of each service have.
+    fn update_versions(&mut self, now: Millis) {
+        let mut listed_versions: Map<&str, Vec<&str>> = Map::default();
+        for listed in self.servers.values().map(|server| &server.listed) {
+            listed_versions.entry(&listed.service).or_default().push(&listed.software_version);
+        }
+        for (service, mut listed) in listed_versions {
+            listed.sort_unstable();
+            listed.dedup();
+            let current = listed.into_iter().map(str::to_owned).collect();
+            match self.versions_by_service.get_mut(service) {
+                Some(versions) if versions.current == current => {}
+                Some(versions) => *versions = Versions { current, changed_at: Some(now) },
+                None => {
+                    let versions = Versions { current, changed_at: None };
+                    self.versions_by_service.insert(service.to_owned(), versions);
+                }
+            }
+        }
+    }
+
     /// Records that the list was read again at `now` and has not changed.
     pub fn confirm(&mut self, now: Millis) {
         self.listed_at = Some(now);
@@ -289,19 +336,61 @@
 
     /// Whether a service has an available server with a free slot that has not been attempted.
     pub fn has_capacity(&self, now: Millis, service: &str, attempted: &[String]) -> bool {
-        let ids = self.by_service.get(service).into_iter().flatten();
         let mut unattempted =
-            ids.filter(|id| !attempted.contains(id)).filter_map(|id| self.get(id));
+            self.of_service(service).filter(|server| !attempted.contains(&server.listed.id));
         unattempted.any(|server| server.is_available(now) && server.load() < server.listed.slots)
     }
 
     /// Number of requests that can be placed now, `u32::MAX` at most.
     pub fn room(&self, now: Millis, query: &Query<'_>) -> u32 {
-        let ids = self.by_service.get(query.service).into_iter().flatten();
-        let servers = ids.filter_map(|id| self.servers.get(id));
-        let available =
-            servers.filter(|s| s.is_available(now) && !query.attempted.contains(&s.listed.id));
-        available.fold(0, |sum, server| sum.saturating_add(self.room_on(server, now, query)))
+        let room = self.available(now, query).into_iter().map(|s| self.room_on(s, now, query));
+        room.fold(0, u32::saturating_add)
+    }
+
+    /// Whether a listed server satisfies the query, though it may have no room now.
+    pub fn has_candidate(&self, query: &Query<'_>) -> bool {
+        self.of_service(query.service).any(|server| query.admits(server))
+    }
+
+    /// Software versions of the servers with room for a request, that of the chosen one first.
+    pub fn versions(&self, now: Millis, query: &Query<'_>) -> Vec<&str> {
+        let chosen = self.choose(now, query).map(|listed| listed.software_version.as_str());
+        let mut versions: Vec<&str> = chosen.into_iter().collect();
+        for server in self.available(now, query) {
+            let version = server.listed.software_version.as_str();
+            if !versions.contains(&version) && self.room_on(server, now, query) > 0 {
+                versions.push(version);
+            }
+        }
+        versions
+    }
+
+    /// The software version of all servers of a service; `None` if there are several, there were
+    /// other ones within the last `period` milliseconds, or no server is listed.
+    pub fn only_version(&self, now: Millis, service: &str, period: Millis) -> Option<&str> {
+        let versions = self.versions_by_service.get(service)?;
+        let is_settled = versions.changed_at.is_none_or(|changed_at| now >= changed_at + period);
+        match versions.current.as_slice() {
+            [only] if is_settled => Some(only),
+            _ => None,
+        }
+    }
+
+    /// States of the servers that satisfy the query and may be chosen. If all servers that can take
+    /// up a stream are suspended, they may be chosen all the same: no other one can replace them.
+    fn available(&self, now: Millis, query: &Query<'_>) -> Vec<&Server> {
+        let admitted = || self.of_service(query.service).filter(|s| query.admits(s));
+        let available: Vec<&Server> = admitted().filter(|s| s.is_available(now)).collect();
+        if !available.is_empty() || !query.is_resumption {
+            return available;
+        }
+        admitted().filter(|server| server.limit.permits(now) > 0).collect()
+    }
+
+    /// States of the listed servers of a service.
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &Server> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.servers.get(id))
     }
 
     /// Number of requests that can be placed on an available server now.
@@ -322,13 +411,8 @@
     ///
     /// [`Fleet::begin`] must be called before another request is placed.
     pub fn choose(&self, now: Millis, query: &Query<'_>) -> Option<&Listing> {
-        let ids = self.by_service.get(query.service)?;
-        let available: Vec<&Server> = ids
-            .iter()
-            .filter_map(|id| self.servers.get(id))
-            .filter(|s| s.is_available(now) && !query.attempted.contains(&s.listed.id))
-            .filter(|s| self.room_on(s, now, query) > 0)
-            .collect();
+        let mut available = self.available(now, query);
+        available.retain(|server| self.room_on(server, now, query) > 0);
         let last_server =
             available.iter().find(|s| query.last_server == Some(s.listed.id.as_str()));
         if let Some(last_server) =
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -191,3 +191,63 @@
     assert_eq!(choose(&fleet, 0, None), None);
     assert_eq!(choose_with_last(&fleet, "s1"), "s1");
 }
+
+fn versioned(id: &str, software_version: &str) -> Listing {
+    Listing { software_version: software_version.into(), ..listed(id, "a") }
+}
+
+#[test]
+fn a_stream_is_placed_on_a_server_of_its_version_only() {
+    let mut fleet = Fleet::new(Settings::default(), "a", "e1");
+    fleet.update(0, vec![versioned("s1", "v1"), versioned("s2", "v2"), versioned("s3", "v2")]);
+    let query = |software_version| Query { service: "model", software_version, ..Query::default() };
+    for _ in 0..4 {
+        assert_eq!(fleet.choose(0, &query(Some("v1"))).unwrap().id, "s1");
+        fleet.begin(0, "s1");
+    }
+    assert_eq!(fleet.choose(0, &query(Some("v1"))).unwrap().id, "s1", "up to 125 percent");
+    fleet.begin(0, "s1");
+    assert_eq!(fleet.choose(0, &query(Some("v1"))), None, "s1 is full");
+    assert!(fleet.has_candidate(&query(Some("v1"))), "s1 will have room again");
+    assert_eq!(fleet.versions(0, &query(None)), ["v2"]);
+    fleet.update(1, vec![Listing { is_draining: true, ..versioned("s1", "v1") }]);
+    assert!(!fleet.has_candidate(&query(Some("v1"))));
+}
+
+#[test]
+fn a_service_has_one_version_once_the_others_are_gone_for_some_time() {
+    let mut fleet = Fleet::new(Settings::default(), "a", "e1");
+    assert_eq!(fleet.only_version(0, "model", 3_000), None);
+    fleet.update(0, vec![versioned("s1", "v1")]);
+    assert_eq!(fleet.only_version(0, "model", 3_000), Some("v1"));
+    fleet.update(5_000, vec![versioned("s1", "v1"), versioned("s2", "v2")]);
+    assert_eq!(fleet.only_version(9_000, "model", 3_000), None);
+    fleet.update(10_000, vec![versioned("s2", "v2")]);
+    fleet.update(11_000, vec![versioned("s2", "v2"), versioned("s3", "v2")]);
+    assert_eq!(fleet.only_version(12_999, "model", 3_000), None);
+    assert_eq!(fleet.only_version(13_000, "model", 3_000), Some("v2"));
+    fleet.update(20_000, Vec::new());
+    fleet.update(21_000, vec![versioned("s4", "v3")]);
+    assert_eq!(fleet.only_version(22_000, "model", 3_000), None, "after a list without servers");
+}
+
+#[test]
+fn a_stream_is_taken_up_by_a_suspended_server_if_no_other_one_can() {
+    let mut fleet = Fleet::new(Settings::default(), "a", "e1");
+    fleet.update(0, vec![versioned("s1", "v1"), versioned("s2", "v1"), versioned("s3", "v2")]);
+    let query = |is_resumption| Query {
+        service: "model",
+        software_version: Some("v1"),
+        is_resumption,
+        ..Query::default()
+    };
+    fleet.begin(0, "s1");
+    fleet.finish(0, "s1", Outcome::Failed);
+    assert_eq!(fleet.choose(0, &query(true)).unwrap().id, "s2");
+    fleet.begin(0, "s2");
+    fleet.finish(0, "s2", Outcome::Failed);
+    assert!(fleet.choose(0, &query(true)).is_some());
+    assert_eq!(fleet.choose(0, &query(false)), None, "a new stream can go to another version");
+    let any = Query { service: "model", ..Query::default() };
+    assert_eq!(fleet.versions(0, &any), ["v2"]);
+}
--- a/crates/protocol/src/routes.rs
+++ b/crates/protocol/src/routes.rs
@@ -43,6 +43,8 @@
     pub retry: Retry,
     /// Whether responses are event streams.
     pub is_stream: bool,
+    /// Whether a caller may take up a stream that broke off.
+    pub is_resumable: bool,
     /// Maximum total time of a request, including queueing.
     pub timeout: Duration,
     /// Time within which the response should begin.
--- a/crates/state/src/turn/command.rs
+++ b/crates/state/src/turn/command.rs
@@ -1,5 +1,6 @@
 //! Commands, queries and replies of the turn journal.
 
+use crate::turn::stream::{Assignment, Origin, Start};
 use serde::{Deserialize, Serialize};
 
 /// A change to the turn journal. Each command is idempotent.
@@ -9,6 +10,9 @@
     Begin(Begin),
     /// Ends a turn, which completed or was abandoned before it was sent.
     End(End),
+    /// Changes the origin of a stream that has no events yet, before it is sent to a backend server
+    /// of another origin.
+    Assign(Assign),
 }
 
 /// Start of a turn: reserves its tokens and extends the retention of the turns before it.
@@ -23,6 +27,23 @@
     /// Minimum time for which `previous` and all turns before it stay retained, in
     /// milliseconds from `now_ms`.
     pub retention_ms: u64,
+    /// How the turn's stream starts; `None` if no later request may take it up.
+    pub start: Option<Start>,
+    /// Sender's wall clock, in milliseconds since the Unix epoch.
+    pub now_ms: u64,
+}
+
+/// Change of a stream's origin.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assign {
+    /// Request id of the turn.
+    pub turn: String,
+    /// The new origin.
+    pub origin: Origin,
+    /// [`Assignment::revision`] of the origin to replace; 0 if the stream has none.
+    pub revision: u64,
+    /// Minimum time for which the origin is kept, in milliseconds from `now_ms`.
+    pub kept_ms: u64,
     /// Sender's wall clock, in milliseconds since the Unix epoch.
     pub now_ms: u64,
 }
@@ -77,7 +98,14 @@
     Begun {
         /// Backend server that executed the program's last turn and may still cache its prompt.
         server: Option<String>,
+        /// Origin of the turn's stream; `None` if it has none yet or needs none.
+        stream: Option<Assignment>,
     },
+    /// The recorded origin of the stream, which is the requested one unless another change came
+    /// first.
+    Assigned(Assignment),
+    /// The stream to take up was never begun, or its origin is no longer kept.
+    UnknownStream,
     /// The remaining budget is less than the maximum that the turn can use.
     Exhausted {
         /// Tokens that are neither spent nor reserved.
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -7,7 +7,8 @@
 use crate::error::Storage;
 use crate::history::{Locator, Position, Store};
 use crate::machine::{self, Export, Import, StateMachine};
-use crate::turn::command::{Begin, Command, End, Query, Record, Reply};
+use crate::turn::command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation};
+use crate::turn::stream::{Assignment, Origin, Start, Streams};
 use crate::turn::transfer::{Exporter, Importer};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -39,6 +40,8 @@
     ended: Set<String>,
     /// Backend server that executed the last turn.
     server: Option<String>,
+    /// Origin of the last stream that was executed.
+    origin: Option<Origin>,
     /// Time after which the budget is removed, in milliseconds since the Unix epoch.
     expires_ms: u64,
 }
@@ -67,6 +70,7 @@
     now_ms: u64,
     programs: Map<String, Program>,
     pub(crate) retained: Map<String, Turn>,
+    streams: Streams,
     /// End of the history store; unused in an export.
     pub(crate) history: Position,
 }
@@ -76,6 +80,7 @@
     programs: Map<String, Program>,
     /// Retained turns by id.
     retained: Map<String, Turn>,
+    streams: Streams,
     history: Box<dyn Store>,
     /// Highest `now_ms` of all applied commands, so that a clock set back expires nothing.
     now_ms: u64,
@@ -89,6 +94,7 @@
         Self {
             programs: Map::default(),
             retained: Map::default(),
+            streams: Streams::default(),
             history,
             now_ms: 0,
             last_expiry_ms: 0,
@@ -104,12 +110,14 @@
         let now_ms = match &command {
             Command::Begin(begin) => begin.now_ms,
             Command::End(end) => end.now_ms,
+            Command::Assign(assign) => assign.now_ms,
         };
         self.now_ms = self.now_ms.max(now_ms);
         self.remove_expired();
         match command {
             Command::Begin(begin) => Ok(self.begin(begin)),
             Command::End(end) => self.end(end),
+            Command::Assign(assign) => Ok(self.assign(assign)),
         }
     }
 
@@ -121,29 +129,76 @@
             }
             self.extend_retention(previous, expires_ms);
         }
-        let Some(reservation) = begin.reservation else {
-            return Reply::Begun { server: None };
+        let assignment = match &begin.start {
+            Some(start) => match self.assignment(&begin, start) {
+                Ok(assignment) => assignment,
+                Err(reply) => return reply,
+            },
+            None => None,
         };
-        let expires_ms =
-            self.now_ms + BUDGET_RETENTION_MS.max(begin.retention_ms + MAX_CLOCK_SKEW_MS);
+        let server = match begin.reservation {
+            Some(reservation) => match self.reserve(&begin.turn, reservation, begin.retention_ms) {
+                Ok(server) => server,
+                Err(reply) => return reply,
+            },
+            None => None,
+        };
+        if let (Some(start), Some(assignment)) = (begin.start, &assignment) {
+            let expires_ms = self.expiry_ms(start.kept_ms);
+            self.streams.insert(&begin.turn, assignment.clone(), expires_ms);
+        }
+        Reply::Begun { server, stream: assignment }
+    }
+
+    /// Returns the origin of a stream that is about to start or to be taken up; `None` if it
+    /// starts and there is no candidate.
+    fn assignment(&self, begin: &Begin, start: &Start) -> Result<Option<Assignment>, Reply> {
+        if let Some(recorded) = self.streams.get(&begin.turn) {
+            return Ok(Some(recorded.clone()));
+        }
+        if let Some(first) = &start.first {
+            let recorded = self.streams.get(first).ok_or(Reply::UnknownStream)?;
+            return Ok(Some(recorded.clone()));
+        }
+        let program = begin.reservation.as_ref().and_then(|r| self.programs.get(&r.program));
+        let last = program.and_then(|program| program.origin.as_ref());
+        let last = last.filter(|last| start.candidates.contains(last));
+        let origin = last.or(start.candidates.first());
+        Ok(origin.map(|origin| Assignment { origin: origin.clone(), revision: 0 }))
+    }
+
+    /// Reserves the tokens of a turn and returns the server of the program's last turn.
+    fn reserve(
+        &mut self,
+        turn: &str,
+        reservation: Reservation,
+        retention_ms: u64,
+    ) -> Result<Option<String>, Reply> {
+        let expires_ms = self.now_ms + BUDGET_RETENTION_MS.max(retention_ms + MAX_CLOCK_SKEW_MS);
         let program = self.programs.entry(reservation.program).or_default();
         program.expires_ms = program.expires_ms.max(expires_ms);
-        if program.ended.contains(&begin.turn) {
-            return Reply::Ended;
-        }
-        let server = program.server.clone();
-        if program.reservations.contains_key(&begin.turn) {
-            return Reply::Begun { server };
+        if program.ended.contains(turn) {
+            return Err(Reply::Ended);
         }
-        let allocated = program.allocated_tokens();
-        if allocated.saturating_add(reservation.tokens) > reservation.budget {
-            return Reply::Exhausted { remaining: reservation.budget.saturating_sub(allocated) };
+        if !program.reservations.contains_key(turn) {
+            let allocated = program.allocated_tokens();
+            if allocated.saturating_add(reservation.tokens) > reservation.budget {
+                let remaining = reservation.budget.saturating_sub(allocated);
+                return Err(Reply::Exhausted { remaining });
+            }
+            program.reservations.insert(turn.to_owned(), reservation.tokens);
         }
-        program.reservations.insert(begin.turn, reservation.tokens);
-        Reply::Begun { server }
+        Ok(program.server.clone())
+    }
+
+    fn assign(&mut self, assign: Assign) -> Reply {
+        let expires_ms = self.expiry_ms(assign.kept_ms);
+        let Assign { turn, origin, revision, .. } = assign;
+        Reply::Assigned(self.streams.assign(&turn, origin, revision, expires_ms))
     }
 
     fn end(&mut self, end: End) -> Result<Reply, Storage> {
+        let origin = self.streams.get(&end.turn).map(|recorded| recorded.origin.clone());
         if let Some(id) = end.program {
             let expires_ms = self.now_ms + BUDGET_RETENTION_MS;
             let program = self.programs.entry(id).or_default();
@@ -151,7 +206,10 @@
             if program.ended.insert(end.turn.clone()) {
                 program.reservations.remove(&end.turn);
                 program.spent = program.spent.saturating_add(end.tokens);
-                program.server = end.server.or(program.server.take());
+                if end.server.is_some() {
+                    program.server = end.server;
+                    program.origin = origin.or(program.origin.take());
+                }
             }
         }
         if let Some(record) = end.record {
@@ -202,6 +260,7 @@
         self.last_expiry_ms = now_ms;
         self.programs.retain(|_, program| program.expires_ms > now_ms);
         self.retained.retain(|_, turn| turn.expires_ms > now_ms);
+        self.streams.remove_expired(now_ms);
     }
 
     /// Concatenated content of a turn and all turns before it, oldest first; `None` if one of
@@ -228,8 +287,13 @@
     }
 
     fn snapshot(&self, history: Position) -> Snapshot {
-        let (programs, retained) = (self.programs.clone(), self.retained.clone());
-        Snapshot { now_ms: self.now_ms, programs, retained, history }
+        Snapshot {
+            now_ms: self.now_ms,
+            programs: self.programs.clone(),
+            retained: self.retained.clone(),
+            streams: self.streams.clone(),
+            history,
+        }
     }
 
     fn restore(&mut self, snapshot: Snapshot) {
@@ -237,6 +301,7 @@
         self.last_expiry_ms = snapshot.now_ms;
         self.programs = snapshot.programs;
         self.retained = snapshot.retained;
+        self.streams = snapshot.streams;
     }
 }
 
@@ -292,9 +357,10 @@
     fn dump(&self) -> String {
         let active: usize = self.programs.values().map(|program| program.reservations.len()).sum();
         format!(
-            "programs {}, turns in progress {active}, turns retained {}",
+            "programs {}, turns in progress {active}, turns retained {}, origins of streams {}",
             self.programs.len(),
-            self.retained.len()
+            self.retained.len(),
+            self.streams.len()
         )
     }
 }
--- a/crates/state/src/turn/mod.rs
+++ b/crates/state/src/turn/mod.rs
@@ -8,7 +8,9 @@
 
 mod command;
 mod machine;
+mod stream;
 mod transfer;
 
-pub use command::{Begin, Command, End, Query, Record, Reply, Reservation};
+pub use command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation};
 pub use machine::Turns;
+pub use stream::{Assignment, Origin, Start};
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -3,11 +3,13 @@
 use crate::util;
 use state::history::{Files, Memory};
 use state::machine::StateMachine;
-use state::turn::{Begin, Command, End, Record, Reply, Reservation, Turns};
+use state::turn::{
+    Assign, Assignment, Begin, Command, End, Origin, Record, Reply, Reservation, Start, Turns,
+};
 
 const RETENTION_MS: u64 = 60_000;
 
-const BEGUN: Reply = Reply::Begun { server: None };
+const BEGUN: Reply = Reply::Begun { server: None, stream: None };
 
 fn turns() -> Turns {
     Turns::new(Box::new(Memory::default()))
@@ -201,7 +203,7 @@
             ..End::default()
         })
     };
-    let begun = |server: &str| Reply::Begun { server: Some(server.into()) };
+    let begun = |server: &str| Reply::Begun { server: Some(server.into()), stream: None };
     turns.execute(begin("a", 10, 1)).unwrap();
     turns.execute(end("a", Some("s1"), 2)).unwrap();
     assert_eq!(turns.execute(begin("b", 10, 3)).unwrap(), begun("s1"));
@@ -219,3 +221,99 @@
         "the repeated end of turn a is ignored"
     );
 }
+
+fn origin(software_version: &str) -> Origin {
+    Origin { service: "m".into(), software_version: software_version.into() }
+}
+
+/// Begins a stream of program `p`; `first` is the turn that began it.
+fn begin_stream(turn: &str, first: Option<&str>, versions: &[&str], now_ms: u64) -> Command {
+    let start = Start {
+        first: first.map(str::to_owned),
+        candidates: versions.iter().map(|version| origin(version)).collect(),
+        kept_ms: 3_000,
+    };
+    let reservation = Reservation { program: "p".into(), budget: 1_000, tokens: 10 };
+    Command::Begin(Begin {
+        turn: turn.into(),
+        reservation: Some(reservation),
+        start: Some(start),
+        now_ms,
+        ..Begin::default()
+    })
+}
+
+fn assign(turn: &str, version: &str, revision: u64, now_ms: u64) -> Command {
+    let (turn, origin) = (turn.into(), origin(version));
+    Command::Assign(Assign { turn, origin, revision, kept_ms: 3_000, now_ms })
+}
+
+/// Executes the begin of a stream and returns its recorded version.
+fn version_of(turns: &mut Turns, command: Command) -> Option<String> {
+    match turns.execute(command).unwrap() {
+        Reply::Begun { stream, .. } => stream.map(|stream| stream.origin.software_version),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_stream_is_taken_up_at_the_version_that_began_it() {
+    let mut turns = turns();
+    let version = version_of(&mut turns, begin_stream("a", None, &["v2", "v1"], 1));
+    assert_eq!(version.as_deref(), Some("v2"));
+    for (turn, first) in [("b", "a"), ("c", "a"), ("d", "b")] {
+        let version = version_of(&mut turns, begin_stream(turn, Some(first), &["v1"], 2));
+        assert_eq!(version.as_deref(), Some("v2"), "{turn} takes up {first}");
+    }
+    let unknown = begin_stream("e", Some("x"), &["v1"], 3);
+    assert_eq!(turns.execute(unknown).unwrap(), Reply::UnknownStream);
+    let unexecuted = begin_stream("f", None, &[], 4);
+    assert_eq!(version_of(&mut turns, unexecuted), None);
+    let unknown = begin_stream("g", Some("f"), &["v1"], 5);
+    assert_eq!(turns.execute(unknown).unwrap(), Reply::UnknownStream, "f has no origin yet");
+}
+
+#[test]
+fn a_late_copy_of_a_change_of_origin_is_ignored() {
+    let mut turns = turns();
+    turns.execute(begin_stream("a", None, &["v1"], 1)).unwrap();
+    let recorded =
+        |version: &str, revision| Reply::Assigned(Assignment { origin: origin(version), revision });
+    assert_eq!(turns.execute(assign("a", "v2", 0, 2)).unwrap(), recorded("v2", 1));
+    assert_eq!(turns.execute(assign("a", "v2", 0, 3)).unwrap(), recorded("v2", 1), "a copy");
+    assert_eq!(turns.execute(assign("a", "v1", 1, 4)).unwrap(), recorded("v1", 2));
+    assert_eq!(turns.execute(assign("a", "v2", 0, 5)).unwrap(), recorded("v1", 2), "a late copy");
+    let copy = begin_stream("a", None, &["v3"], 6);
+    assert_eq!(version_of(&mut turns, copy).as_deref(), Some("v1"), "a late copy of the begin");
+    let resumed = begin_stream("b", Some("a"), &[], 7);
+    assert_eq!(version_of(&mut turns, resumed).as_deref(), Some("v1"));
+}
+
+#[test]
+fn a_program_prefers_the_version_of_its_last_stream() {
+    let mut turns = turns();
+    turns.execute(begin_stream("a", None, &["v1"], 1)).unwrap();
+    let (turn, server) = ("a".into(), Some("s1".into()));
+    let end = End { turn, program: Some("p".into()), server, now_ms: 2, ..End::default() };
+    turns.execute(Command::End(end)).unwrap();
+    let version = version_of(&mut turns, begin_stream("b", None, &["v2", "v1"], 3));
+    assert_eq!(version.as_deref(), Some("v1"));
+    let version = version_of(&mut turns, begin_stream("c", None, &["v2"], 4));
+    assert_eq!(version.as_deref(), Some("v2"), "no server has the version of the last stream");
+}
+
+#[test]
+fn origins_of_streams_are_kept_as_long_as_they_may_be_taken_up() {
+    let mut local = turns();
+    local.execute(begin_stream("a", None, &["v1"], 1_000)).unwrap();
+    let saved = local.save().unwrap();
+    let mut reopened = turns();
+    reopened.load(&saved).unwrap();
+    let mut other = turns();
+    util::transfer_state(&reopened, &mut other, 1_000);
+    let version = version_of(&mut other, begin_stream("b", Some("a"), &[], 4_000));
+    assert_eq!(version.as_deref(), Some("v1"));
+    // 15 s are added for clocks that differ, and removal takes place each 5 s.
+    let late = begin_stream("c", Some("a"), &[], 24_100);
+    assert_eq!(other.execute(late).unwrap(), Reply::UnknownStream);
+}
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -14,13 +14,14 @@
 use crate::gateway::sending::Outbound;
 use crate::gateway::turns::{Admission, Turn};
 use bytes::{Bytes, BytesMut};
+use coordination::placement::Query;
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use protocol::routes::{Route, Table};
 use rand::Rng;
 use state::error::Kind;
-use state::turn::{Begin, Reservation};
+use state::turn::{Assignment, Begin, Origin, Reservation, Start};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -96,6 +97,7 @@
         },
         entry: entry.clone(),
         may_have_executed: false,
+        versions: Versions::Any,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle(&metadata, head, body).await,
@@ -130,6 +132,18 @@
     pub(super) progress: Progress,
     /// Whether a backend server may have executed an attempt that got no response.
     pub(super) may_have_executed: bool,
+    /// Software versions of the backend servers that the request may be sent to.
+    pub(super) versions: Versions,
+}
+
+/// Software versions of the backend servers that a request may be sent to.
+pub(super) enum Versions {
+    /// Every version.
+    Any,
+    /// The version that began the stream which the request takes up.
+    Only(String),
+    /// The recorded version; a different one has to be recorded before the request is sent.
+    Recorded(Option<Assignment>),
 }
 
 /// Result of beginning a turn; empty for requests that are not turns.
@@ -141,6 +155,8 @@
     /// Id of the backend server that executed the program's previous turn and may hold its
     /// cache.
     holder: Option<String>,
+    /// Origin of the turn's stream.
+    stream: Option<Assignment>,
 }
 
 /// A backend server's response, with what is needed to relay it.
@@ -177,8 +193,11 @@
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = self.progress.started + timeout;
         let body = read_body(body, table.limits().body_bytes, deadline).await?;
-        let service = route.pick(rand::rng().next_u64()).to_owned();
-        let Begun { mut turn, prior, holder } = self.begin(metadata, &route, deadline).await?;
+        let service = route.pick(rand::rng().next_u64());
+        let start = self.start_of_stream(metadata, &route, service)?;
+        let begun = self.begin(metadata, &route, start, deadline).await?;
+        let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
+        let Begun { mut turn, prior, holder, .. } = begun;
         let content = if prior.is_empty() {
             body.clone()
         } else {
@@ -194,6 +213,7 @@
             head: &head,
             content,
             last_server: holder.as_deref(),
+            turn: turn.as_ref(),
             deadline,
         };
         let (response, attempt) = self.dispatch(&outbound).await?;
@@ -220,11 +240,88 @@
         })
     }
 
+    /// Returns how the stream of the request starts if a later request may take it up.
+    fn start_of_stream(
+        &self,
+        metadata: &Metadata,
+        route: &Route,
+        service: &str,
+    ) -> Result<Option<Start>, Error> {
+        if !route.is_resumable {
+            return Ok(None);
+        }
+        let kept = metadata.timeout.unwrap_or_default().max(route.timeout);
+        let kept_ms = millis(kept);
+        let resumption = metadata.resumption.as_ref();
+        if resumption.is_some() && route.retains_turns {
+            let detail = "the events before the break are not part of the turn to retain";
+            return Err(self.refuse_resumption("retained", detail));
+        }
+        let first = resumption.and_then(|resumption| resumption.origin.clone());
+        if first.is_some() {
+            return Ok(Some(Start { first, kept_ms, ..Start::default() }));
+        }
+        let now = self.entry.now();
+        let versions: Vec<String> = match self.entry.fleet.lock() {
+            Ok(fleet) if resumption.is_some() => {
+                let only = fleet.only_version(now, service, kept_ms);
+                only.filter(|_| route.targets.len() == 1).map(str::to_owned).into_iter().collect()
+            }
+            Ok(fleet) => {
+                let query = Query { service, ..Query::default() };
+                fleet.versions(now, &query).into_iter().map(str::to_owned).collect()
+            }
+            Err(_) => Vec::new(),
+        };
+        if resumption.is_some() && versions.is_empty() {
+            let detail = "the request doesn't name the one that began the stream, and its servers \
+                          had several software versions lately";
+            return Err(self.refuse_resumption("unnamed", detail));
+        }
+        let origin = |software_version| Origin { service: service.to_owned(), software_version };
+        let candidates = versions.into_iter().map(origin).collect();
+        Ok(Some(Start { first, candidates, kept_ms }))
+    }
+
+    /// Binds the request to the recorded origin of its stream; returns the service to send it to.
+    fn bind_to_origin(
+        &mut self,
+        metadata: &Metadata,
+        route: &Route,
+        service: &str,
+        recorded: Option<Assignment>,
+    ) -> Result<String, Error> {
+        if !route.is_resumable {
+            return Ok(service.to_owned());
+        }
+        if metadata.resumption.is_none() {
+            self.versions = Versions::Recorded(recorded);
+            return Ok(service.to_owned());
+        }
+        let Some(Assignment { origin, .. }) = recorded else {
+            return Err(self.refuse_resumption("unknown", "the origin of the stream is not known"));
+        };
+        if !route.targets.iter().any(|target| target.service == origin.service) {
+            let detail = format!("route {} no longer allows {}", route.name, origin.service);
+            return Err(self.refuse_resumption("moved", &detail));
+        }
+        self.versions = Versions::Only(origin.software_version);
+        Ok(origin.service)
+    }
+
+    /// Refuses to take up a stream. There is no retry time, since waiting doesn't help: the caller
+    /// has to start again.
+    pub(super) fn refuse_resumption(&self, outcome: &str, detail: &str) -> Error {
+        self.entry.metrics.resumption(outcome);
+        Refusal::new(Kind::Unavailable, detail).into()
+    }
+
     /// Begins a turn if the request reserves tokens or its route retains turns.
     async fn begin(
         &self,
         metadata: &Metadata,
         route: &Route,
+        start: Option<Start>,
         deadline: Instant,
     ) -> Result<Begun, Error> {
         let reservation = match (&metadata.program, metadata.budget) {
@@ -234,7 +331,7 @@
             _ => None,
         };
         let previous = metadata.previous.clone().filter(|_| route.retains_turns);
-        if reservation.is_none() && !route.retains_turns {
+        if reservation.is_none() && !route.retains_turns && start.is_none() {
             return Ok(Begun::default());
         }
         let begin = Begin {
@@ -242,6 +339,7 @@
             reservation,
             previous,
             retention_ms: millis(route.retention),
+            start,
             now_ms: 0,
         };
         let started = Instant::now();
@@ -252,7 +350,12 @@
         self.entry.is_journal_unreachable.store(admission.is_err(), Ordering::Relaxed);
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
         match admission {
-            Ok(Admission::Open { prior, holder }) => Ok(Begun { turn: Some(turn), prior, holder }),
+            Ok(Admission::Open { prior, holder, stream }) => {
+                Ok(Begun { turn: Some(turn), prior, holder, stream })
+            }
+            Ok(Admission::UnknownStream) => {
+                Err(self.refuse_resumption("unknown", "the origin of the stream is not known"))
+            }
             Ok(Admission::Exhausted { remaining }) => {
                 let detail =
                     format!("{remaining} tokens remain in the budget, the turn may use more");
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -18,6 +18,7 @@
     registry: Registry,
     requests: Family<Label, Counter>,
     attempts: Family<Label, Counter>,
+    resumptions: Family<Label, Counter>,
     pub(crate) first_byte: Histogram,
     pub(crate) duration: Histogram,
     pub(crate) journal: Histogram,
@@ -40,6 +41,9 @@
         registry.register("requests", "Requests of callers by outcome", requests.clone());
         let attempts = Family::<Label, Counter>::default();
         registry.register("attempts", "Attempts on servers by outcome", attempts.clone());
+        let resumptions = Family::<Label, Counter>::default();
+        let help = "Requests that take up a stream, by outcome";
+        registry.register("resumptions", help, resumptions.clone());
         let first_byte = latency();
         let help = "Time to the head of the answer";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -65,6 +69,7 @@
             registry,
             requests,
             attempts,
+            resumptions,
             first_byte,
             duration,
             journal,
@@ -84,6 +89,10 @@
         self.attempts.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn resumption(&self, outcome: &str) {
+        self.resumptions.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
+    }
+
     pub(crate) fn list_read(&self, outcome: &str) {
         self.list_reads.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -7,12 +7,13 @@
 use crate::clock::millis;
 use crate::gateway::attempt::Attempt;
 use crate::gateway::dialect::{Dispatch, Metadata, Refusal, Verdict};
-use crate::gateway::flow::{Error, Handler, RETRY_AFTER};
+use crate::gateway::flow::{Error, Handler, RETRY_AFTER, Versions};
 use crate::gateway::headers;
 use crate::gateway::pool::SendError;
+use crate::gateway::turns::Turn;
 use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
-use coordination::placement::{Outcome, Query};
+use coordination::placement::{Listing, Outcome, Query};
 use coordination::waiting::{Class, Ticket};
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,6 +21,7 @@
 use protocol::routes::{Retry, Route};
 use rand::RngExt;
 use state::error::Kind;
+use state::turn::Origin;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -68,6 +70,8 @@
     pub(super) content: Bytes,
     /// Id of the backend server that executed the program's previous turn.
     pub(super) last_server: Option<&'a str>,
+    /// The turn that the request is, if it is one.
+    pub(super) turn: Option<&'a Turn>,
     pub(super) deadline: Instant,
 }
 
@@ -104,7 +108,12 @@
             let attempt = self.choose_server(outbound, &attempted).await?;
             attempted.push(attempt.server.id.clone());
             match self.attempt(outbound, attempt, &attempted).await {
-                AttemptResult::Answered(answered) => return Ok(*answered),
+                AttemptResult::Answered(answered) => {
+                    if matches!(self.versions, Versions::Only(_)) {
+                        self.entry.metrics.resumption("answered");
+                    }
+                    return Ok(*answered);
+                }
                 AttemptResult::Unavailable if skipped < MAX_SKIPPED => skipped += 1,
                 AttemptResult::Unavailable => {
                     return Err(self.refuse("no backend server could be reached"));
@@ -159,16 +168,19 @@
     ) -> Result<Attempt, Error> {
         let session = outbound.metadata.program.as_deref().or(outbound.metadata.session.as_deref());
         let session = session.filter(|_| outbound.route.is_sticky);
-        let is_new = outbound.route.is_stream && outbound.last_server.is_none();
+        let is_resumption = matches!(self.versions, Versions::Only(_));
+        let is_new = outbound.route.is_stream && outbound.last_server.is_none() && !is_resumption;
         let query = Query {
             service: outbound.service,
             session,
             last_server: outbound.last_server,
             is_new,
             attempted,
+            software_version: None,
+            is_resumption,
         };
         let class = Class { priority: outbound.route.priority, is_new };
-        if let Some(attempt) = self.place(&query, class, None) {
+        if let Some(attempt) = self.place(outbound, &query, class, None).await? {
             return Ok(attempt);
         }
         let arrived = Instant::now();
@@ -186,7 +198,8 @@
         };
         while arrived.elapsed() < limit {
             tokio::time::sleep(PLACEMENT_RETRY_PAUSE).await;
-            if let Some(attempt) = self.place(&query, class, Some(waiter.ticket)) {
+            let ticket = Some(waiter.ticket);
+            if let Some(attempt) = self.place(outbound, &query, class, ticket).await? {
                 return Ok(attempt);
             }
         }
@@ -194,9 +207,91 @@
         Err(self.refuse(&detail))
     }
 
+    /// Begins an attempt on a backend server of a version that the request may be sent to, if there
+    /// is room for it. A stream that begins at another version than the recorded one is recorded
+    /// again first.
+    async fn place(
+        &mut self,
+        outbound: &Outbound<'_>,
+        query: &Query<'_>,
+        class: Class,
+        ticket: Option<Ticket>,
+    ) -> Result<Option<Attempt>, Error> {
+        let version = match &self.versions {
+            Versions::Any => None,
+            Versions::Only(version) => Some(version.clone()),
+            Versions::Recorded(recorded) => {
+                recorded.as_ref().map(|recorded| recorded.origin.software_version.clone())
+            }
+        };
+        let software_version = version.as_deref();
+        let bound = Query { software_version, ..*query };
+        match &self.versions {
+            Versions::Any => return Ok(self.begin_attempt(query, class, ticket)),
+            Versions::Only(version) => {
+                let has_candidate =
+                    self.entry.fleet.lock().is_ok_and(|fleet| fleet.has_candidate(&bound));
+                if !has_candidate {
+                    let detail = format!(
+                        "no backend server of service {} has version {version}, which began the \
+                         stream",
+                        query.service
+                    );
+                    return Err(self.refuse_resumption("gone", &detail));
+                }
+                return Ok(self.begin_attempt(&bound, class, ticket));
+            }
+            Versions::Recorded(_) => {}
+        }
+        if version.is_some()
+            && let Some(attempt) = self.begin_attempt(&bound, class, ticket)
+        {
+            return Ok(Some(attempt));
+        }
+        let Some(attempt) = self.begin_attempt(query, class, ticket) else {
+            return Ok(None);
+        };
+        self.record_origin(outbound, &attempt.server).await?;
+        Ok(Some(attempt))
+    }
+
+    /// Records that the stream begins at the version of `server`.
+    async fn record_origin(
+        &mut self,
+        outbound: &Outbound<'_>,
+        server: &Listing,
+    ) -> Result<(), Error> {
+        let (Versions::Recorded(recorded), Some(turn)) = (&self.versions, outbound.turn) else {
+            return Ok(());
+        };
+        let revision = recorded.as_ref().map_or(0, |recorded| recorded.revision);
+        let origin = Origin {
+            service: outbound.service.to_owned(),
+            software_version: server.software_version.clone(),
+        };
+        let kept = outbound.metadata.timeout.unwrap_or_default().max(outbound.route.timeout);
+        let remaining = outbound.deadline.saturating_duration_since(Instant::now());
+        let timeout = remaining.mul_f64(PLACEMENT_SHARE);
+        let assigned = turn.assign(origin.clone(), revision, kept, timeout).await;
+        tracing::info!(
+            request = outbound.metadata.id,
+            server = server.id,
+            previous = ?recorded,
+            ?assigned,
+            "origin of a stream changed"
+        );
+        match assigned {
+            Ok(assignment) if assignment.origin == origin => {
+                self.versions = Versions::Recorded(Some(assignment));
+                Ok(())
+            }
+            _ => Err(self.refuse("the origin of the stream could not be recorded")),
+        }
+    }
+
     /// Begins an attempt on a backend server, if there is room for the request after those that
     /// go before it.
-    fn place(
+    fn begin_attempt(
         &mut self,
         query: &Query<'_>,
         class: Class,
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -4,13 +4,14 @@
 //! for the tokens it has used when it ends. On routes that retain turns its content is
 //! recorded, so that a later turn can continue from it.
 
+use crate::clock::{self, millis};
 use crate::journal::Unreachable;
 use crate::member::Member;
 use crate::member::PROGRAMS;
 use protocol::wire::{Request, Response};
 use serde_bytes::ByteBuf;
 use state::machine;
-use state::turn::{Begin, Command, End, Query, Record, Reply};
+use state::turn::{Assign, Assignment, Begin, Command, End, Origin, Query, Record, Reply};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
         prior: Vec<u8>,
         /// Id of the backend server that executed the program's previous turn.
         holder: Option<String>,
+        /// Origin of the turn's stream; `None` if it has none yet or needs none.
+        stream: Option<Assignment>,
     },
     /// The program's remaining budget is smaller than the turn's limit.
     Exhausted {
@@ -35,6 +38,8 @@
     },
     /// The turn to continue from does not exist or is no longer retained.
     UnknownTurn,
+    /// The origin of the stream to take up is not known.
+    UnknownStream,
 }
 
 /// A turn between its begin and its end. Dropping it submits the end in the background, which
@@ -57,7 +62,7 @@
         mut begin: Begin,
         timeout: Duration,
     ) -> (Self, Result<Admission, Unreachable>) {
-        begin.now_ms = crate::clock::unix_ms();
+        begin.now_ms = clock::unix_ms();
         let program = begin.reservation.as_ref().map(|reservation| reservation.program.clone());
         let turn = Self {
             member: member.clone(),
@@ -72,6 +77,29 @@
         (turn, admission)
     }
 
+    /// Changes the origin of the turn's stream, whose `revision` is that of the recorded one or 0.
+    /// Returns the recorded origin. The turn may be sent to a server of `origin` only if it is that
+    /// one.
+    pub(crate) async fn assign(
+        &self,
+        origin: Origin,
+        revision: u64,
+        kept: Duration,
+        timeout: Duration,
+    ) -> Result<Assignment, Unreachable> {
+        let (turn, kept_ms, now_ms) = (self.id.clone(), millis(kept), clock::unix_ms());
+        let command = Command::Assign(Assign { turn, origin, revision, kept_ms, now_ms });
+        let command = machine::encode(&command).map_err(|_| Unreachable)?;
+        let request = Request::Submit { group: PROGRAMS, command };
+        match self.member.leaders.route(PROGRAMS, &request, timeout).await? {
+            Response::Data(reply) => match machine::decode(&reply).map_err(|_| Unreachable)? {
+                Reply::Assigned(assignment) => Ok(assignment),
+                _ => Err(Unreachable),
+            },
+            _ => Err(Unreachable),
+        }
+    }
+
     /// Submits the end of the turn with its content. The response may end only after that.
     pub(crate) async fn record(
         mut self,
@@ -96,7 +124,7 @@
             tokens: self.tokens,
             server: self.server.clone(),
             record,
-            now_ms: crate::clock::unix_ms(),
+            now_ms: clock::unix_ms(),
         })
     }
 }
@@ -154,14 +182,15 @@
         None => Some(ByteBuf::new()),
     };
     match machine::decode(&reply).map_err(|_| Unreachable)? {
-        Reply::Begun { server } => {
+        Reply::Begun { server, stream } => {
             let prior = chain.ok_or(Unreachable)?.into_vec();
-            Ok(Admission::Open { prior, holder: server })
+            Ok(Admission::Open { prior, holder: server, stream })
         }
+        Reply::UnknownStream => Ok(Admission::UnknownStream),
         Reply::Exhausted { remaining } => Ok(Admission::Exhausted { remaining }),
         Reply::NoSuchTurn => Ok(Admission::UnknownTurn),
         // A begin can find its turn already ended only if it is a late copy of a begin that was
         // given up.
-        Reply::Ended | Reply::Done => Err(Unreachable),
+        Reply::Ended | Reply::Done | Reply::Assigned(_) => Err(Unreachable),
     }
 }
