feat(gateway): log why a connection to a backend server cannot be opened

Cause: an entry that reaches no backend server refuses requests, and its log doesn't say that and why connections fail. Change: the log line has the request, server, cause and duration. Connections are opened through a Connector, a trait object of the gateway's settings, so that a test can cut the links of one entry. Conclusion: no decision changed.

--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -49,7 +49,8 @@
     async fn try_get(&self, address: &str, path: &str) -> Result<(StatusCode, Bytes), String> {
         loop {
             let pooled = self.pool.get(address).await;
-            let (mut connection, is_new) = pooled.ok_or_else(|| "cannot connect".to_owned())?;
+            let (mut connection, is_new) =
+                pooled.map_err(|error| format!("cannot connect: {error}"))?;
             let request = Request::get(path)
                 .header(http::header::HOST, address)
                 .body(Full::new(Bytes::new()))
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -5,6 +5,7 @@
 //! and backend server lists, and remove expired connections.
 
 use crate::clock::millis;
+use crate::gateway::connector::{Connector, Direct};
 use crate::gateway::dialect::{Adapter, Dispatch};
 use crate::gateway::list::List;
 use crate::gateway::metrics::Metrics;
@@ -37,6 +38,8 @@
     pub listen: String,
     /// Failure domain of this instance; backend servers of the same one are preferred.
     pub failure_domain: String,
+    /// How connections to backend servers are opened.
+    pub connector: Arc<dyn Connector>,
     /// Parameters of the choice of backend servers.
     pub placement: placement::Settings,
     /// Age above which the relayed backend server list is stale and the entry reads the list
@@ -60,6 +63,7 @@
         Self {
             listen: String::new(),
             failure_domain: String::new(),
+            connector: Arc::new(Direct),
             placement: placement::Settings::default(),
             list_max_age: Duration::from_millis(1_600),
             list_poll_interval: Duration::from_millis(250),
@@ -122,11 +126,11 @@
         let fleet = Fleet::new(settings.placement.clone(), &settings.failure_domain, address);
         let (stop, phase) = watch::channel(server::Phase::Serving);
         let entry = Arc::new(Self {
+            pool: Pool::new(settings.connector.clone()),
             settings,
             adapter,
             member,
             fleet: Mutex::new(fleet),
-            pool: Pool::default(),
             metrics: Metrics::new(),
             records: Records::default(),
             under_way: AtomicUsize::new(0),
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! response ends. An [`Adapter`] translates the headers of the platform.
 
 mod attempt;
+mod connector;
 mod dialect;
 mod entry;
 mod events;
@@ -21,6 +22,7 @@
 mod turns;
 mod waiter;
 
+pub use connector::{ConnectFuture, Connector, Direct};
 pub use dialect::{Adapter, Budget, Dispatch, Metadata, Refusal, Resumption, Verdict};
 pub use entry::{Entry, Settings};
 pub use list::{List, ListError, ListFuture};
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -4,6 +4,7 @@
 //! request ends in any other way its connection is closed, which also stops the work on the
 //! server.
 
+use crate::gateway::connector::{Connector, Direct};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -150,10 +151,15 @@
 }
 
 impl Connection {
-    async fn open(address: &str) -> Option<Self> {
-        let address: SocketAddr = address.parse().ok()?;
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = stream.ok()?.ok()?;
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if the server does not accept it in time.
+    async fn open(connector: &dyn Connector, address: &str) -> io::Result<Self> {
+        let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(address)).await;
+        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let configured = stream
             .set_nodelay(true)
             .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
@@ -164,13 +170,14 @@
         builder.max_buf_size(BUFFER_BYTES).writev(true);
         let allowance = Arc::new(Allowance(AtomicUsize::new(HEAD_BYTES)));
         let stream = Metered { stream, allowance: allowance.clone() };
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection to a backend server ended");
             }
         });
-        Some(Self { sender, task: task.abort_handle(), allowance })
+        Ok(Self { sender, task: task.abort_handle(), allowance })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -201,19 +208,34 @@
 }
 
 /// Idle connections by server address.
-#[derive(Default)]
 pub(crate) struct Pool {
+    connector: Arc<dyn Connector>,
     idle: Mutex<Map<String, Vec<Idle>>>,
 }
 
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(Arc::new(Direct))
+    }
+}
+
 impl Pool {
+    /// Creates an empty pool.
+    pub(crate) fn new(connector: Arc<dyn Connector>) -> Self {
+        Self { connector, idle: Mutex::default() }
+    }
+
     /// Returns an idle connection to `address` or opens one; the flag is `true` for a new
     /// connection.
-    pub(crate) async fn get(&self, address: &str) -> Option<(Connection, bool)> {
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if no connection can be opened.
+    pub(crate) async fn get(&self, address: &str) -> io::Result<(Connection, bool)> {
         if let Some(connection) = self.take(address) {
-            return Some((connection, false));
+            return Ok((connection, false));
         }
-        Some((Connection::open(address).await?, true))
+        Ok((Connection::open(self.connector.as_ref(), address).await?, true))
     }
 
     fn take(&self, address: &str) -> Option<Connection> {
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -325,9 +325,21 @@
         let resumption = outbound.metadata.resumption.as_ref();
         let resumes = resumption.map(|resumption| resumption.origin.as_deref().unwrap_or_default());
         loop {
-            let Some((connection, is_new)) = self.entry.pool.get(&address).await else {
-                attempt.end(Outcome::Failed);
-                return AttemptResult::Unavailable;
+            let opened = Instant::now();
+            let (connection, is_new) = match self.entry.pool.get(&address).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    tracing::info!(
+                        request = outbound.metadata.id,
+                        server = id,
+                        address,
+                        %error,
+                        ms = millis(opened.elapsed()),
+                        "no connection to a backend server"
+                    );
+                    attempt.end(Outcome::Failed);
+                    return AttemptResult::Unavailable;
+                }
             };
             if is_new {
                 self.entry.metrics.connections.inc();
