fix(gateway): an entry that reaches no backend server forwards requests to other entries

Such an entry stayed ready and listed, tried one server after the other and refused. Ruled out: late refusals alone (an earlier one is still a refusal), suspended servers (the rule is broken during the cut). Meanwhile the entry forwards requests to another entry, on an address of its own, also requests whose turn has begun but which no server got. Heartbeats report it, and the roster leaves such entries out unless no entry reaches a server, so that callers go elsewhere within seconds. Conclusion: forwarding serves callers that kept the address, the roster sends the others elsewhere.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limit;
 pub mod membership;
 pub mod placement;
+pub mod reach;
 pub mod retry;
 pub mod routing;
 pub mod waiting;
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -35,8 +35,13 @@
     pub role: Role,
     /// Address at which callers reach the sender; `None` if it does not serve callers.
     pub callers: Option<String>,
+    /// Address at which the sender accepts requests that other entries forward; `None` if it
+    /// accepts none.
+    pub relay: Option<String>,
     /// Whether the sender accepts requests of callers.
     pub is_ready: bool,
+    /// Whether the sender reaches no backend server.
+    pub is_partitioned: bool,
     /// Status of the sender's replica; `None` if it has none.
     pub replica: Option<Replica>,
     /// Revision of the sender's registry; 0 if it has none yet.
@@ -133,18 +138,38 @@
 pub struct Roster {
     /// Digest of the entries; 0 if there are none.
     pub digest: u64,
-    /// Failure domain and caller address of each entry.
-    pub entries: Vec<(String, String)>,
+    /// The ready entries that reach backend servers; all ready ones if none does.
+    pub entries: Vec<Entry>,
+}
+
+/// An entry in the [`Roster`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Failure domain in which it runs.
+    pub failure_domain: String,
+    /// Address for callers.
+    pub address: String,
+    /// Address for requests that other entries forward; `None` if it accepts none.
+    pub relay: Option<String>,
+    /// Whether it reaches no backend server.
+    pub is_partitioned: bool,
 }
 
 impl Roster {
     /// Returns the caller addresses for a caller in `failure_domain`: those of the entries
     /// in that domain, or of all entries if the domain has fewer than two.
     pub fn near(&self, failure_domain: &str) -> Vec<String> {
-        let is_near = |entry: &&(String, String)| entry.0 == failure_domain;
+        let is_near = |entry: &&Entry| entry.failure_domain == failure_domain;
         let near = self.entries.iter().filter(is_near).count();
         let selected = self.entries.iter().filter(|entry| near < 2 || is_near(entry));
-        selected.map(|(_, address)| address.clone()).collect()
+        selected.map(|entry| entry.address.clone()).collect()
+    }
+
+    /// Returns the addresses to which an instance that reaches no backend server can forward
+    /// requests.
+    pub fn relays(&self) -> Vec<&str> {
+        let reaching = self.entries.iter().filter(|entry| !entry.is_partitioned);
+        reaching.filter_map(|entry| entry.relay.as_deref()).collect()
     }
 }
 
--- a/crates/protocol/tests/presence.rs
+++ b/crates/protocol/tests/presence.rs
@@ -1,7 +1,7 @@
 //! Tests of the backend server list and the roster that control instances relay.
 
 use coordination::placement::Listing;
-use protocol::presence::{Roster, Update};
+use protocol::presence::{Entry, Roster, Update};
 
 fn listing(id: u32, is_draining: bool) -> Listing {
     Listing {
@@ -57,7 +57,11 @@
 
 #[test]
 fn callers_get_entries_of_their_failure_domain_if_it_has_two() {
-    let entry = |domain: &str, address: &str| (domain.to_owned(), address.to_owned());
+    let entry = |domain: &str, address: &str| Entry {
+        failure_domain: domain.to_owned(),
+        address: address.to_owned(),
+        ..Entry::default()
+    };
     let entries = vec![entry("a", "a1"), entry("b", "b1"), entry("a", "a2")];
     let roster = Roster { digest: 1, entries };
     assert_eq!(roster.near("a"), ["a1", "a2"]);
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -15,13 +15,31 @@
     pub(crate) server: Listing,
     pub(crate) connection: Option<Connection>,
     outcome: Outcome,
+    /// Whether the request was forwarded to another entry.
+    is_forwarded: bool,
 }
 
 impl Attempt {
     /// Wraps an attempt that was begun in the fleet. Its outcome is `Cancelled` unless it is
     /// ended otherwise.
     pub(crate) fn new(entry: &Arc<Entry>, server: Listing) -> Self {
-        Self { entry: entry.clone(), server, connection: None, outcome: Outcome::Cancelled }
+        Self {
+            entry: entry.clone(),
+            server,
+            connection: None,
+            outcome: Outcome::Cancelled,
+            is_forwarded: false,
+        }
+    }
+
+    /// Wraps an attempt to forward a request to the entry at `relay`, which takes the place of a
+    /// backend server.
+    pub(crate) fn to_entry(entry: &Arc<Entry>, relay: &str) -> Self {
+        let (id, address) = (relay.to_owned(), relay.to_owned());
+        let server = Listing { id, address, ..Listing::default() };
+        let mut attempt = Self::new(entry, server);
+        attempt.is_forwarded = true;
+        attempt
     }
 
     /// Ends the attempt with an outcome.
@@ -33,11 +51,14 @@
     /// `headers` are those of the response.
     pub(crate) fn complete(mut self, headers: &http::HeaderMap) {
         self.outcome = Outcome::Answered;
-        if let Ok(mut retries) = self.entry.retries.lock() {
+        if !self.is_forwarded
+            && let Ok(mut retries) = self.entry.retries.lock()
+        {
             retries.deposit();
         }
         if let Some(connection) = self.connection.take() {
-            self.entry.pool.put(&self.server.address, connection, headers);
+            let pool = if self.is_forwarded { &self.entry.relays } else { &self.entry.pool };
+            pool.put(&self.server.address, connection, headers);
         }
     }
 }
@@ -45,7 +66,9 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let now = self.entry.now();
-        if let Ok(mut fleet) = self.entry.fleet.lock() {
+        if !self.is_forwarded
+            && let Ok(mut fleet) = self.entry.fleet.lock()
+        {
             fleet.finish(now, &self.server.id, self.outcome);
         }
         let outcome = match self.outcome {
@@ -55,6 +78,10 @@
             Outcome::Gone => "gone",
             Outcome::Cancelled => "cancelled",
         };
-        self.entry.metrics.attempt(outcome);
+        if self.is_forwarded {
+            self.entry.metrics.forwarded(outcome);
+        } else {
+            self.entry.metrics.attempt(outcome);
+        }
     }
 }
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -110,6 +110,9 @@
     /// without the hop-by-hop ones.
     fn request_headers(&self, headers: HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
+    /// Sets the time that the caller waits, in a request that is forwarded to another entry.
+    fn set_timeout(&self, headers: &mut HeaderMap, remaining: Duration);
+
     /// Classifies a backend server's response by its head.
     fn verdict(&self, head: &response::Parts, dispatch: &Dispatch<'_>) -> Verdict;
 
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -7,6 +7,7 @@
 use crate::clock::millis;
 use crate::gateway::connector::{Connector, Direct};
 use crate::gateway::dialect::{Adapter, Dispatch};
+use crate::gateway::flow::Source;
 use crate::gateway::list::List;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::pool::Pool;
@@ -18,6 +19,7 @@
 use coordination::Millis;
 use coordination::limit::Observation;
 use coordination::placement::{self, Fleet};
+use coordination::reach::Reach;
 use coordination::retry::Budget;
 use coordination::waiting::Queue;
 use http::response;
@@ -29,7 +31,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -91,6 +93,11 @@
     pub(crate) member: Arc<Member>,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) pool: Pool,
+    /// Connections to other entries, for requests that are forwarded.
+    pub(crate) relays: Pool,
+    pub(crate) reach: Mutex<Reach>,
+    /// Notified when a connection to a backend server cannot be opened.
+    pub(crate) connection_failed: Notify,
     pub(crate) metrics: Metrics,
     pub(crate) records: Records,
     pub(crate) under_way: AtomicUsize,
@@ -119,14 +126,19 @@
         adapter: Arc<dyn Adapter>,
         list: Arc<dyn List>,
     ) -> Result<Arc<Self>, Error> {
-        let listener = TcpListener::bind(&settings.listen)
-            .await
-            .map_err(|error| Error::new(format!("{}: {error}", settings.listen)))?;
+        let listener = bind(&settings.listen).await?;
+        let relay_listener = match &member.settings.relay_address {
+            Some(address) => Some(bind(address).await?),
+            None => None,
+        };
         let address = member.settings.caller_address.as_deref().unwrap_or_default();
         let fleet = Fleet::new(settings.placement.clone(), &settings.failure_domain, address);
         let (stop, phase) = watch::channel(server::Phase::Serving);
         let entry = Arc::new(Self {
             pool: Pool::new(settings.connector.clone()),
+            relays: Pool::default(),
+            reach: Mutex::default(),
+            connection_failed: Notify::new(),
             settings,
             adapter,
             member,
@@ -150,7 +162,12 @@
         tokio::spawn(entry.clone().watch_servers());
         tokio::spawn(entry.clone().poll_list());
         tokio::spawn(entry.clone().expire_connections());
-        tokio::spawn(server::serve(entry.clone(), listener, phase));
+        tokio::spawn(entry.clone().watch_reach());
+        if let Some(listener) = relay_listener {
+            let phase = phase.clone();
+            tokio::spawn(server::serve(entry.clone(), listener, phase, Source::Entries));
+        }
+        tokio::spawn(server::serve(entry.clone(), listener, phase, Source::Callers));
         Ok(entry)
     }
 
@@ -198,6 +215,26 @@
             && elapsed.is_none_or(|elapsed| elapsed > CONTROL_TIMEOUT)
     }
 
+    /// Whether this instance reaches no backend server.
+    pub(crate) fn is_partitioned(&self) -> bool {
+        self.reach.lock().is_ok_and(|reach| reach.is_partitioned())
+    }
+
+    /// Records that no connection to a backend server could be opened.
+    pub(crate) fn report_failed_connection(&self, server: &str) {
+        if let Ok(mut reach) = self.reach.lock() {
+            reach.connection_failed(server);
+        }
+        self.connection_failed.notify_one();
+    }
+
+    /// Records that a connection to a backend server was opened.
+    pub(crate) fn report_opened_connection(&self) {
+        if let Ok(mut reach) = self.reach.lock() {
+            reach.connection_opened();
+        }
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.member.clock.now()
     }
@@ -281,7 +318,8 @@
     /// Divides the backend servers' rate limits among the entries of the roster.
     fn apply_roster(&self, roster: &Roster) {
         if let Ok(mut fleet) = self.fleet.lock() {
-            fleet.set_sharers(self.now(), roster.entries.iter().map(|(_, address)| &**address));
+            fleet
+                .set_sharers(self.now(), roster.entries.iter().map(|entry| entry.address.as_str()));
         }
     }
 
@@ -395,6 +433,12 @@
                 Err(_) => return,
             };
             self.pool.remove_expired(|address| known.contains(address));
+            self.relays.remove_expired(|_| true);
         }
     }
 }
+
+async fn bind(address: &str) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| Error::new(format!("{address}: {error}")))
+}
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -79,6 +79,7 @@
 pub(crate) async fn respond(
     entry: Arc<Entry>,
     request: Request<Incoming>,
+    source: Source,
 ) -> Result<Response<Body>, Abort> {
     let in_flight = InFlight::new(&entry);
     let started = Instant::now();
@@ -98,6 +99,7 @@
         entry: entry.clone(),
         may_have_executed: false,
         versions: Versions::Any,
+        source,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle(&metadata, head, body).await,
@@ -134,6 +136,16 @@
     pub(super) may_have_executed: bool,
     /// Software versions of the backend servers that the request may be sent to.
     pub(super) versions: Versions,
+    pub(super) source: Source,
+}
+
+/// Who sent a request to this entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// A caller.
+    Callers,
+    /// Another entry, which forwards the request of a caller.
+    Entries,
 }
 
 /// Software versions of the backend servers that a request may be sent to.
@@ -160,7 +172,7 @@
 }
 
 /// A backend server's response, with what is needed to relay it.
-struct Answered {
+pub(super) struct Answered {
     response: Response<Incoming>,
     attempt: Attempt,
     turn: Option<Turn>,
@@ -172,6 +184,26 @@
     deadline: Instant,
 }
 
+impl Answered {
+    /// Wraps the response of another entry, which has handled the request in full.
+    pub(super) fn forwarded(
+        response: Response<Incoming>,
+        attempt: Attempt,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            response,
+            attempt,
+            turn: None,
+            draft: None,
+            is_stream: false,
+            tokens_per_event: 0,
+            max_events: u64::MAX,
+            deadline,
+        }
+    }
+}
+
 impl Handler {
     /// Reads the body, begins the turn and dispatches the request.
     async fn handle(
@@ -193,6 +225,11 @@
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = self.progress.started + timeout;
         let body = read_body(body, table.limits().body_bytes, deadline).await?;
+        if self.should_forward()
+            && let Some(answered) = self.forward(metadata, &route, &head, &body, deadline).await?
+        {
+            return Ok(answered);
+        }
         let service = route.pick(rand::rng().next_u64());
         let start = self.start_of_stream(metadata, &route, service)?;
         let begun = self.begin(metadata, &route, start, deadline).await?;
@@ -216,7 +253,9 @@
             turn: turn.as_ref(),
             deadline,
         };
-        let (response, attempt) = self.dispatch(&outbound).await?;
+        let Some((response, attempt)) = self.dispatch(&outbound).await? else {
+            return self.forward_begun(metadata, &route, &head, &body, deadline, turn).await;
+        };
         if let Some(turn) = &mut turn {
             turn.server = Some(attempt.server.id.clone());
         }
@@ -240,6 +279,26 @@
         })
     }
 
+    /// Forwards a request whose turn has begun. The other entry finds that and ends the turn.
+    async fn forward_begun(
+        &mut self,
+        metadata: &Metadata,
+        route: &Route,
+        head: &request::Parts,
+        body: &Bytes,
+        deadline: Instant,
+        mut turn: Option<Turn>,
+    ) -> Result<Answered, Error> {
+        if let Some(turn) = &mut turn {
+            turn.hand_over();
+        }
+        let forwarded = self.forward(metadata, route, head, body, deadline).await?;
+        if let (None, Some(turn)) = (&forwarded, &mut turn) {
+            turn.take_back();
+        }
+        forwarded.ok_or_else(|| self.refuse("no backend server and no other entry is reached"))
+    }
+
     /// Returns how the stream of the request starts if a later request may take it up.
     fn start_of_stream(
         &self,
--- /dev/null
+++ b/crates/transport/src/gateway/forward.rs
@@ -0,0 +1,131 @@
+//! Forwarding of callers' requests to another entry while this one reaches no backend server.
+//!
+//! The other entry handles the request as if its caller had sent it there; this one relays the
+//! response unchanged. A forwarded request is not forwarded again.
+
+use crate::clock::millis;
+use crate::gateway::attempt::Attempt;
+use crate::gateway::dialect::{Metadata, Refusal};
+use crate::gateway::flow::{Answered, Error, Handler, Source};
+use crate::gateway::headers;
+use crate::gateway::pool::SendError;
+use crate::gateway::sending::{self, MIN_DISPATCH_TIME};
+use bytes::Bytes;
+use coordination::placement::Outcome;
+use http::{Response, request};
+use hyper::body::Incoming;
+use protocol::routes::{Retry, Route};
+use rand::seq::IndexedRandom;
+use state::error::Kind;
+use tokio::time::Instant;
+
+/// Maximum number of entries to which a request is forwarded, one after the other.
+const MAX_RELAYS: usize = 3;
+
+/// Result of forwarding a request to one entry.
+enum Forwarded {
+    /// It responded.
+    Answered(Box<(Response<Incoming>, Attempt)>),
+    /// It could not be reached; the request was not executed.
+    Unreachable,
+    /// No response arrived; the request may have been executed. Carries the cause.
+    NoResponse(String),
+}
+
+impl Handler {
+    /// Whether the request should be forwarded: this instance reaches no backend server, another
+    /// entry does, and the request came from a caller.
+    pub(super) fn should_forward(&self) -> bool {
+        let member = &self.entry.member;
+        self.source == Source::Callers
+            && self.entry.is_partitioned()
+            && !member.view.borrow().roster.relays().is_empty()
+    }
+
+    /// Forwards the request to another entry; `None` if no other entry can be reached, so that
+    /// the request was not executed.
+    pub(super) async fn forward(
+        &mut self,
+        metadata: &Metadata,
+        route: &Route,
+        head: &request::Parts,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> Result<Option<Answered>, Error> {
+        let relays: Vec<String> = {
+            let roster = self.entry.member.view.borrow().roster.clone();
+            let relays = roster.relays();
+            let chosen = relays.sample(&mut rand::rng(), MAX_RELAYS);
+            chosen.map(|address| (*address).to_owned()).collect()
+        };
+        for relay in relays {
+            match self.forward_to(&relay, metadata, head, body, deadline).await? {
+                Forwarded::Answered(answered) => {
+                    let (response, attempt) = *answered;
+                    return Ok(Some(Answered::forwarded(response, attempt, deadline)));
+                }
+                Forwarded::Unreachable => {}
+                Forwarded::NoResponse(_) if route.retry == Retry::Always => {
+                    self.may_have_executed = true;
+                }
+                Forwarded::NoResponse(detail) => {
+                    return Err(Refusal::new(Kind::Failed, detail).into());
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Forwards the request to the entry that accepts such requests at `relay`.
+    async fn forward_to(
+        &self,
+        relay: &str,
+        metadata: &Metadata,
+        head: &request::Parts,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> Result<Forwarded, Error> {
+        let mut attempt = Attempt::to_entry(&self.entry, relay);
+        loop {
+            let (connection, is_new) = match self.entry.relays.get(relay).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    let request = &metadata.id;
+                    tracing::info!(request, relay, %error, "no connection to another entry");
+                    attempt.end(Outcome::Failed);
+                    return Ok(Forwarded::Unreachable);
+                }
+            };
+            let connection = attempt.connection.insert(connection);
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if remaining < MIN_DISPATCH_TIME {
+                return Ok(Forwarded::Unreachable);
+            }
+            let mut headers = headers::end_to_end(&head.headers);
+            self.entry.adapter.set_timeout(&mut headers, remaining);
+            let Some(request) = sending::outgoing(head, headers, body.clone()) else {
+                return Ok(Forwarded::Unreachable);
+            };
+            let remaining_ms = millis(remaining);
+            tracing::info!(request = metadata.id, relay, remaining_ms, "request forwarded");
+            match tokio::time::timeout(remaining, connection.send(request)).await {
+                Ok(Ok(response)) => {
+                    return Ok(Forwarded::Answered(Box::new((response, attempt))));
+                }
+                Ok(Err(SendError::NotSent)) if !is_new => {}
+                Ok(Err(SendError::NotSent)) => {
+                    attempt.end(Outcome::Failed);
+                    return Ok(Forwarded::Unreachable);
+                }
+                Ok(Err(SendError::NoResponse(detail))) => {
+                    attempt.end(Outcome::Failed);
+                    return Ok(Forwarded::NoResponse(detail));
+                }
+                Err(_) => {
+                    let detail = "the entry that it was forwarded to did not respond in time";
+                    return Err(Refusal::new(Kind::Unknown, detail).into());
+                }
+            }
+        }
+    }
+}
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -19,6 +19,8 @@
     requests: Family<Label, Counter>,
     attempts: Family<Label, Counter>,
     resumptions: Family<Label, Counter>,
+    forwarded: Family<Label, Counter>,
+    pub(crate) partitioned: Gauge,
     pub(crate) first_byte: Histogram,
     pub(crate) duration: Histogram,
     pub(crate) journal: Histogram,
@@ -44,6 +46,12 @@
         let resumptions = Family::<Label, Counter>::default();
         let help = "Requests that take up a stream, by outcome";
         registry.register("resumptions", help, resumptions.clone());
+        let forwarded = Family::<Label, Counter>::default();
+        let help = "Requests forwarded to other entries, by outcome";
+        registry.register("forwarded", help, forwarded.clone());
+        let partitioned = Gauge::default();
+        let help = "1 while no backend server is reached, otherwise 0";
+        registry.register("partitioned", help, partitioned.clone());
         let first_byte = latency();
         let help = "Time to the head of the answer";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -70,6 +78,8 @@
             requests,
             attempts,
             resumptions,
+            forwarded,
+            partitioned,
             first_byte,
             duration,
             journal,
@@ -93,6 +103,10 @@
         self.resumptions.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn forwarded(&self, outcome: &str) {
+        self.forwarded.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
+    }
+
     pub(crate) fn list_read(&self, outcome: &str) {
         self.list_reads.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -16,7 +16,7 @@
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -85,6 +85,8 @@
 /// Stream that fails once the [`Allowance`] is used up.
 struct Metered {
     stream: TcpStream,
+    /// Number of bytes received on all connections of the pool.
+    received: Arc<AtomicU64>,
     allowance: Arc<Allowance>,
 }
 
@@ -96,7 +98,9 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if self.allowance.deduct(buffer.filled().len() - filled) {
+        let count = buffer.filled().len() - filled;
+        self.received.fetch_add(count as u64, Ordering::Relaxed);
+        if self.allowance.deduct(count) {
             return Poll::Ready(Ok(()));
         }
         let detail = format!("more than {HEAD_BYTES} bytes without a complete response head");
@@ -156,7 +160,11 @@
     /// # Errors
     ///
     /// Returns the cause if the server does not accept it in time.
-    async fn open(connector: &dyn Connector, address: &str) -> io::Result<Self> {
+    async fn open(
+        connector: &dyn Connector,
+        address: &str,
+        received: Arc<AtomicU64>,
+    ) -> io::Result<Self> {
         let address: SocketAddr = address.parse().map_err(io::Error::other)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(address)).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -169,7 +177,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES).writev(true);
         let allowance = Arc::new(Allowance(AtomicUsize::new(HEAD_BYTES)));
-        let stream = Metered { stream, allowance: allowance.clone() };
+        let stream = Metered { stream, received, allowance: allowance.clone() };
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -210,6 +218,7 @@
 /// Idle connections by server address.
 pub(crate) struct Pool {
     connector: Arc<dyn Connector>,
+    received: Arc<AtomicU64>,
     idle: Mutex<Map<String, Vec<Idle>>>,
 }
 
@@ -222,7 +231,7 @@
 impl Pool {
     /// Creates an empty pool.
     pub(crate) fn new(connector: Arc<dyn Connector>) -> Self {
-        Self { connector, idle: Mutex::default() }
+        Self { connector, received: Arc::default(), idle: Mutex::default() }
     }
 
     /// Returns an idle connection to `address` or opens one; the flag is `true` for a new
@@ -235,7 +244,27 @@
         if let Some(connection) = self.take(address) {
             return Ok((connection, false));
         }
-        Ok((Connection::open(self.connector.as_ref(), address).await?, true))
+        Ok((self.open(address).await?, true))
+    }
+
+    async fn open(&self, address: &str) -> io::Result<Connection> {
+        Connection::open(self.connector.as_ref(), address, self.received.clone()).await
+    }
+
+    /// Opens a connection that the next request to `address` can use.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if no connection can be opened.
+    pub(crate) async fn warm_up(&self, address: &str) -> io::Result<()> {
+        let connection = self.open(address).await?;
+        self.put(address, connection, &HeaderMap::new());
+        Ok(())
+    }
+
+    /// Number of bytes that were ever received on the connections.
+    pub(crate) fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
     }
 
     fn take(&self, address: &str) -> Option<Connection> {
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use coordination::placement::{Listing, Outcome, Query};
 use coordination::waiting::{Class, Ticket};
-use http::{Request, Response, header, request};
+use http::{HeaderMap, Request, Response, header, request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use protocol::routes::{Retry, Route};
@@ -51,7 +51,7 @@
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.2;
 
 /// Minimum time remaining for a request to be sent to a backend server.
-const MIN_DISPATCH_TIME: Duration = Duration::from_millis(15);
+pub(super) const MIN_DISPATCH_TIME: Duration = Duration::from_millis(15);
 
 /// Timeout for reading the rest of a refusal from a backend server, so that the connection
 /// can be reused.
@@ -97,22 +97,28 @@
 }
 
 impl Handler {
-    /// Sends the request to one backend server after another until one responds.
+    /// Sends the request to one backend server after another until one responds; `None` if it
+    /// should be forwarded to another entry instead.
     pub(super) async fn dispatch(
         &mut self,
         outbound: &Outbound<'_>,
-    ) -> Result<(Response<Incoming>, Attempt), Error> {
+    ) -> Result<Option<(Response<Incoming>, Attempt)>, Error> {
         let mut attempted: Vec<String> = Vec::new();
         let mut skipped = 0;
         loop {
-            let attempt = self.choose_server(outbound, &attempted).await?;
+            let Some(attempt) = self.choose_server(outbound, &attempted).await? else {
+                return Ok(None);
+            };
             attempted.push(attempt.server.id.clone());
             match self.attempt(outbound, attempt, &attempted).await {
                 AttemptResult::Answered(answered) => {
                     if matches!(self.versions, Versions::Only(_)) {
                         self.entry.metrics.resumption("answered");
                     }
-                    return Ok(*answered);
+                    return Ok(Some(*answered));
+                }
+                AttemptResult::Unavailable if self.should_forward() && !self.may_have_executed => {
+                    return Ok(None);
                 }
                 AttemptResult::Unavailable if skipped < MAX_SKIPPED => skipped += 1,
                 AttemptResult::Unavailable => {
@@ -141,7 +147,7 @@
     }
 
     /// Returns a refusal, which is retryable only if no server can have executed the request.
-    fn refuse(&self, detail: &str) -> Error {
+    pub(super) fn refuse(&self, detail: &str) -> Error {
         if self.may_have_executed {
             return Refusal::new(Kind::Failed, detail).into();
         }
@@ -160,12 +166,13 @@
     }
 
     /// Chooses a backend server and begins an attempt there; waits for a limited time if none is
-    /// usable, unless the wait is expected to be longer.
+    /// usable, unless the wait is expected to be longer. Returns `None` if the request should be
+    /// forwarded to another entry instead.
     async fn choose_server(
         &mut self,
         outbound: &Outbound<'_>,
         attempted: &[String],
-    ) -> Result<Attempt, Error> {
+    ) -> Result<Option<Attempt>, Error> {
         let session = outbound.metadata.program.as_deref().or(outbound.metadata.session.as_deref());
         let session = session.filter(|_| outbound.route.is_sticky);
         let is_resumption = matches!(self.versions, Versions::Only(_));
@@ -181,7 +188,7 @@
         };
         let class = Class { priority: outbound.route.priority, is_new };
         if let Some(attempt) = self.place(outbound, &query, class, None).await? {
-            return Ok(attempt);
+            return Ok(Some(attempt));
         }
         let arrived = Instant::now();
         let remaining = outbound.deadline.saturating_duration_since(arrived);
@@ -200,7 +207,10 @@
             tokio::time::sleep(PLACEMENT_RETRY_PAUSE).await;
             let ticket = Some(waiter.ticket);
             if let Some(attempt) = self.place(outbound, &query, class, ticket).await? {
-                return Ok(attempt);
+                return Ok(Some(attempt));
+            }
+            if self.should_forward() && !self.may_have_executed {
+                return Ok(None);
             }
         }
         let detail = format!("no backend server of service {} is usable", outbound.service);
@@ -338,11 +348,13 @@
                         "no connection to a backend server"
                     );
                     attempt.end(Outcome::Failed);
+                    self.entry.report_failed_connection(&id);
                     return AttemptResult::Unavailable;
                 }
             };
             if is_new {
                 self.entry.metrics.connections.inc();
+                self.entry.report_opened_connection();
             }
             let connection = attempt.connection.insert(connection);
             let remaining = outbound.deadline.saturating_duration_since(Instant::now());
@@ -464,17 +476,23 @@
         outbound: &Outbound<'_>,
         dispatch: &Dispatch<'_>,
     ) -> Option<Request<Full<Bytes>>> {
-        let mut headers = headers::end_to_end(&outbound.head.headers);
-        headers.remove(header::CONTENT_LENGTH);
-        headers.remove(header::EXPECT);
+        let headers = headers::end_to_end(&outbound.head.headers);
         let headers = self.entry.adapter.request_headers(headers, dispatch);
-        let path = outbound.head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::builder()
-            .method(outbound.head.method.clone())
-            .uri(path)
-            .body(Full::new(outbound.content.clone()))
-            .ok()?;
-        *request.headers_mut() = headers;
-        Some(request)
+        outgoing(outbound.head, headers, outbound.content.clone())
     }
 }
+
+/// Builds a request that is sent on; `None` if its head is invalid.
+pub(super) fn outgoing(
+    head: &request::Parts,
+    mut headers: HeaderMap,
+    content: Bytes,
+) -> Option<Request<Full<Bytes>>> {
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let request = Request::builder().method(head.method.clone()).uri(path);
+    let mut request = request.body(Full::new(content)).ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -4,7 +4,7 @@
 //! the gateway stops.
 
 use crate::gateway::entry::Entry;
-use crate::gateway::flow;
+use crate::gateway::flow::{self, Source};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -41,6 +41,7 @@
     entry: Arc<Entry>,
     listener: TcpListener,
     mut phase: watch::Receiver<Phase>,
+    source: Source,
 ) {
     let count = Arc::new(AtomicUsize::new(0));
     loop {
@@ -53,7 +54,7 @@
                 count.fetch_add(1, Ordering::Relaxed);
                 let (entry, phase, count) = (entry.clone(), phase.clone(), count.clone());
                 tokio::spawn(async move {
-                    serve_caller(entry, stream, phase).await;
+                    serve_caller(entry, stream, phase, source).await;
                     count.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -68,12 +69,17 @@
     }
 }
 
-async fn serve_caller(entry: Arc<Entry>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+async fn serve_caller(
+    entry: Arc<Entry>,
+    stream: TcpStream,
+    mut phase: watch::Receiver<Phase>,
+    source: Source,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "cannot set socket options of a connection of a caller");
     }
     let limits = entry.table().map(|table| *table.limits()).unwrap_or_default();
-    let service = service_fn(move |request| flow::respond(entry.clone(), request));
+    let service = service_fn(move |request| flow::respond(entry.clone(), request, source));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts this timeout from the end of the last response, so it also limits how
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -77,6 +77,16 @@
         (turn, admission)
     }
 
+    /// Leaves the end of the turn to the entry that the request is forwarded to.
+    pub(crate) fn hand_over(&mut self) {
+        self.is_open = false;
+    }
+
+    /// Reverses [`Turn::hand_over`].
+    pub(crate) fn take_back(&mut self) {
+        self.is_open = self.program.is_some();
+    }
+
     /// Changes the origin of the turn's stream, whose `revision` is that of the recorded one or 0.
     /// Returns the recorded origin. The turn may be sent to a server of `origin` only if it is that
     /// one.
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -70,6 +70,8 @@
     pub(crate) id: OnceLock<u64>,
     pub(crate) is_ready: AtomicBool,
     pub(crate) is_leaving: AtomicBool,
+    /// Whether the instance reaches no backend server.
+    pub(crate) is_partitioned: AtomicBool,
     /// Registry revision by which the planner's candidates were marked as leaving.
     pub(crate) candidates_revision: AtomicU64,
     /// Triggers a heartbeat before it is due.
@@ -104,6 +106,7 @@
             id: OnceLock::new(),
             is_ready: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            is_partitioned: AtomicBool::new(false),
             candidates_revision: AtomicU64::new(0),
             heartbeat_trigger: Notify::new(),
             servers: watch::Sender::new(servers::View::default()),
@@ -199,6 +202,13 @@
         }
     }
 
+    /// Sets whether the instance reaches no backend server.
+    pub(crate) fn set_partitioned(&self, is_partitioned: bool) {
+        if self.is_partitioned.swap(is_partitioned, Ordering::Relaxed) != is_partitioned {
+            self.heartbeat_trigger.notify_one();
+        }
+    }
+
     /// Returns the time since the last heartbeat reply of any control instance; `None` if there
     /// was none.
     pub(crate) fn time_since_contact(&self) -> Option<Duration> {
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -6,7 +6,7 @@
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
 use coordination::routing;
-use protocol::presence::{Heartbeat, RateLimit, Replica, Role, Roster};
+use protocol::presence::{Entry, Heartbeat, RateLimit, Replica, Role, Roster};
 use state::collections::Map;
 use state::registry::Registry;
 use std::time::Duration;
@@ -96,16 +96,27 @@
         Some((&leader.address, leader.replica.as_ref()?))
     }
 
-    /// Returns the ready entries, or `None` if their digest equals `known`.
+    /// Returns the ready entries, or `None` if their digest equals `known`. Entries that reach no
+    /// backend server are left out, unless none of the entries does.
     pub(crate) fn roster(&self, known: u64) -> Option<Roster> {
         let ready = || self.present(Role::Entry).filter(|instance| instance.heartbeat.is_ready);
-        let digest = ready().fold(0_u64, |sum, instance| sum.wrapping_add(instance.digest));
+        let has_reach = ready().any(|instance| !instance.heartbeat.is_partitioned);
+        let listed = || ready().filter(|i| !(has_reach && i.heartbeat.is_partitioned));
+        let digest = |i: &Instance| routing::mix(i.digest, u64::from(i.heartbeat.is_partitioned));
+        let digest = listed().fold(0_u64, |sum, instance| sum.wrapping_add(digest(instance)));
         if digest == known {
             return None;
         }
-        let entry =
-            |i: &Instance| Some((i.heartbeat.failure_domain.clone(), i.heartbeat.callers.clone()?));
-        Some(Roster { digest, entries: ready().filter_map(entry).collect() })
+        let entry = |instance: &Instance| {
+            let heartbeat = &instance.heartbeat;
+            Some(Entry {
+                failure_domain: heartbeat.failure_domain.clone(),
+                address: heartbeat.callers.clone()?,
+                relay: heartbeat.relay.clone(),
+                is_partitioned: heartbeat.is_partitioned,
+            })
+        };
+        Some(Roster { digest, entries: listed().filter_map(entry).collect() })
     }
 
     /// Returns the number of requests that all entries except `name` have outstanding on each of
@@ -147,6 +158,7 @@
                     "name": heartbeat.name, "role": format!("{:?}", heartbeat.role),
                     "address": heartbeat.address, "failure_domain": heartbeat.failure_domain,
                     "is_ready": heartbeat.is_ready,
+                    "is_partitioned": heartbeat.is_partitioned,
                     "age_ms": instance.received_at.elapsed().as_millis(),
                     "leads": heartbeat.replica.as_ref().is_some_and(|replica| replica.is_leader),
                     "revision": heartbeat.revision,
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -28,6 +28,8 @@
     pub folder: Option<PathBuf>,
     /// Address for callers; only for entries.
     pub caller_address: Option<String>,
+    /// Address for requests that other entries forward; only for entries.
+    pub relay_address: Option<String>,
     /// Number of replicas of a journal that may be lost at the same time.
     pub tolerated_losses: usize,
     /// Minimum time without a leader before an election, in milliseconds.
@@ -53,6 +55,7 @@
             is_first_start: false,
             folder: None,
             caller_address: None,
+            relay_address: None,
             tolerated_losses: 1,
             election_ms: 400,
             compact_bytes: 8 * 1024 * 1024,
