--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -10,18 +10,18 @@
 use crate::gateway::entry::Entry;
 use crate::gateway::events::Parser;
 use crate::gateway::headers;
+use crate::gateway::origin::Versions;
 use crate::gateway::relay::{Abort, Body, Draft, Params, Progress, Relay};
 use crate::gateway::sending::Outbound;
 use crate::gateway::turns::{Admission, Turn};
 use bytes::{Bytes, BytesMut};
-use coordination::placement::Query;
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use protocol::routes::{Route, Table};
 use rand::Rng;
 use state::error::Kind;
-use state::turn::{Assignment, Begin, Origin, Reservation, Start};
+use state::turn::{Assignment, Begin, Reservation, Start};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -148,16 +148,6 @@
     Entries,
 }
 
-/// Software versions of the backend servers that a request may be sent to.
-pub(super) enum Versions {
-    /// Every version.
-    Any,
-    /// The version that began the stream which the request takes up.
-    Only(String),
-    /// The recorded version; a different one has to be recorded before the request is sent.
-    Recorded(Option<Assignment>),
-}
-
 /// Result of beginning a turn; empty for requests that are not turns.
 #[derive(Default)]
 struct Begun {
@@ -235,14 +225,7 @@
         let begun = self.begin(metadata, &route, start, deadline).await?;
         let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
         let Begun { mut turn, prior, holder, .. } = begun;
-        let content = if prior.is_empty() {
-            body.clone()
-        } else {
-            let mut content = BytesMut::with_capacity(prior.len() + body.len());
-            content.extend_from_slice(&prior);
-            content.extend_from_slice(&body);
-            content.freeze()
-        };
+        let content = concatenate(&prior, &body);
         let outbound = Outbound {
             metadata,
             route: &route,
@@ -299,82 +282,6 @@
         forwarded.ok_or_else(|| self.refuse("no backend server and no other entry is reached"))
     }
 
-    /// Returns how the stream of the request starts if a later request may take it up.
-    fn start_of_stream(
-        &self,
-        metadata: &Metadata,
-        route: &Route,
-        service: &str,
-    ) -> Result<Option<Start>, Error> {
-        if !route.is_resumable {
-            return Ok(None);
-        }
-        let kept = metadata.timeout.unwrap_or_default().max(route.timeout);
-        let kept_ms = millis(kept);
-        let resumption = metadata.resumption.as_ref();
-        if resumption.is_some() && route.retains_turns {
-            let detail = "the events before the break are not part of the turn to retain";
-            return Err(self.refuse_resumption("retained", detail));
-        }
-        let first = resumption.and_then(|resumption| resumption.origin.clone());
-        if first.is_some() {
-            return Ok(Some(Start { first, kept_ms, ..Start::default() }));
-        }
-        let now = self.entry.now();
-        let versions: Vec<String> = match self.entry.fleet.lock() {
-            Ok(fleet) if resumption.is_some() => {
-                let only = fleet.only_version(now, service, kept_ms);
-                only.filter(|_| route.targets.len() == 1).map(str::to_owned).into_iter().collect()
-            }
-            Ok(fleet) => {
-                let query = Query { service, ..Query::default() };
-                fleet.versions(now, &query).into_iter().map(str::to_owned).collect()
-            }
-            Err(_) => Vec::new(),
-        };
-        if resumption.is_some() && versions.is_empty() {
-            let detail = "the request doesn't name the one that began the stream, and its servers \
-                          had several software versions lately";
-            return Err(self.refuse_resumption("unnamed", detail));
-        }
-        let origin = |software_version| Origin { service: service.to_owned(), software_version };
-        let candidates = versions.into_iter().map(origin).collect();
-        Ok(Some(Start { first, candidates, kept_ms }))
-    }
-
-    /// Binds the request to the recorded origin of its stream; returns the service to send it to.
-    fn bind_to_origin(
-        &mut self,
-        metadata: &Metadata,
-        route: &Route,
-        service: &str,
-        recorded: Option<Assignment>,
-    ) -> Result<String, Error> {
-        if !route.is_resumable {
-            return Ok(service.to_owned());
-        }
-        if metadata.resumption.is_none() {
-            self.versions = Versions::Recorded(recorded);
-            return Ok(service.to_owned());
-        }
-        let Some(Assignment { origin, .. }) = recorded else {
-            return Err(self.refuse_resumption("unknown", "the origin of the stream is not known"));
-        };
-        if !route.targets.iter().any(|target| target.service == origin.service) {
-            let detail = format!("route {} no longer allows {}", route.name, origin.service);
-            return Err(self.refuse_resumption("moved", &detail));
-        }
-        self.versions = Versions::Only(origin.software_version);
-        Ok(origin.service)
-    }
-
-    /// Refuses to take up a stream. There is no retry time, since waiting doesn't help: the caller
-    /// has to start again.
-    pub(super) fn refuse_resumption(&self, outcome: &str, detail: &str) -> Error {
-        self.entry.metrics.resumption(outcome);
-        Refusal::new(Kind::Unavailable, detail).into()
-    }
-
     /// Begins a turn if the request reserves tokens or its route retains turns.
     async fn begin(
         &self,
@@ -473,6 +380,17 @@
     is_known.then(|| max_tokens.div_ceil(tokens_per_event))
 }
 
+/// Returns the content of the preceding turns followed by the request body.
+fn concatenate(prior: &[u8], body: &Bytes) -> Bytes {
+    if prior.is_empty() {
+        return body.clone();
+    }
+    let mut content = BytesMut::with_capacity(prior.len() + body.len());
+    content.extend_from_slice(prior);
+    content.extend_from_slice(body);
+    content.freeze()
+}
+
 async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Error> {
     let collected = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
     match collected {
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod list;
 mod metrics;
+mod origin;
 pub(crate) mod pool;
 mod probe;
 mod relay;
--- a/crates/transport/src/gateway/probe.rs
+++ b/crates/transport/src/gateway/probe.rs
@@ -5,9 +5,10 @@
 
 use crate::gateway::entry::Entry;
 use coordination::placement::Listing;
+use coordination::reach::Cause;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,25 +27,9 @@
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
                 () = self.connection_failed.notified() => {}
             }
-            let (busy, servers) = match self.fleet.lock() {
-                Ok(fleet) => {
-                    let ready = fleet.iter().filter(|server| !server.listed.is_draining);
-                    let servers: Vec<Listing> = ready.map(|server| server.listed.clone()).collect();
-                    (fleet.local_loads(), servers)
-                }
-                Err(_) => return,
-            };
-            let received = self.pool.received();
-            let busy = busy.iter().map(|(server, _)| server.as_str());
-            let cause = self
-                .reach
-                .lock()
-                .ok()
-                .and_then(|mut reach| reach.check(self.now(), received, busy));
-            let Some(cause) = cause.filter(|_| !servers.is_empty()) else {
+            let Some((cause, probed)) = self.servers_to_probe() else {
                 continue;
             };
-            let probed: Vec<&Listing> = servers.sample(&mut rand::rng(), PROBED_SERVERS).collect();
             let reached = self.probe(&probed).await;
             let Ok(has_changed) =
                 self.reach.lock().map(|mut reach| reach.probed(self.now(), reached.is_some()))
@@ -67,14 +52,26 @@
         }
     }
 
+    /// Returns the servers to probe, and why.
+    fn servers_to_probe(&self) -> Option<(Cause, Vec<Listing>)> {
+        let fleet = self.fleet.lock().ok()?;
+        let busy = fleet.iter().filter(|server| server.outstanding > 0);
+        let busy = busy.map(|server| server.listed.id.as_str());
+        let received = self.pool.received();
+        let cause = self.reach.lock().ok()?.check(self.now(), received, busy)?;
+        let ready = fleet.iter().map(|server| &server.listed).filter(|listed| !listed.is_draining);
+        let probed: Vec<Listing> =
+            ready.sample(&mut rand::rng(), PROBED_SERVERS).into_iter().cloned().collect();
+        (!probed.is_empty()).then_some((cause, probed))
+    }
+
     /// Connects to all of `servers` and returns the id of the first one that accepts.
-    async fn probe(&self, servers: &[&Listing]) -> Option<String> {
+    async fn probe(&self, servers: &[Listing]) -> Option<String> {
         let connect = |server: &Listing| {
             let (id, address) = (server.id.clone(), server.address.clone());
             async move { self.pool.warm_up(&address).await.ok().map(|()| id) }
         };
-        let mut attempts: FuturesUnordered<_> =
-            servers.iter().map(|server| connect(server)).collect();
+        let mut attempts: FuturesUnordered<_> = servers.iter().map(connect).collect();
         while let Some(accepted) = attempts.next().await {
             if accepted.is_some() {
                 return accepted;
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -7,9 +7,10 @@
 use crate::clock::millis;
 use crate::gateway::attempt::Attempt;
 use crate::gateway::dialect::{Dispatch, Metadata, Refusal, Verdict};
-use crate::gateway::flow::{Error, Handler, RETRY_AFTER, Versions};
+use crate::gateway::flow::{Error, Handler, RETRY_AFTER};
 use crate::gateway::headers;
-use crate::gateway::pool::SendError;
+use crate::gateway::origin::Versions;
+use crate::gateway::pool::{Connection, SendError};
 use crate::gateway::turns::Turn;
 use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
@@ -21,7 +22,6 @@
 use protocol::routes::{Retry, Route};
 use rand::RngExt;
 use state::error::Kind;
-use state::turn::Origin;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -39,7 +39,7 @@
 /// Maximum wait for a usable server, as a fraction of the time remaining until the deadline.
 /// A full server is usable again after some engine steps, and waiting is better than a
 /// refusal: a program ends when a call of it is refused twice.
-const PLACEMENT_SHARE: f64 = 0.3;
+pub(super) const PLACEMENT_SHARE: f64 = 0.3;
 
 /// The same for a request that begins a program. The time of the whole program runs while it
 /// waits, so it should rather come back or go elsewhere soon.
@@ -265,40 +265,6 @@
         Ok(Some(attempt))
     }
 
-    /// Records that the stream begins at the version of `server`.
-    async fn record_origin(
-        &mut self,
-        outbound: &Outbound<'_>,
-        server: &Listing,
-    ) -> Result<(), Error> {
-        let (Versions::Recorded(recorded), Some(turn)) = (&self.versions, outbound.turn) else {
-            return Ok(());
-        };
-        let revision = recorded.as_ref().map_or(0, |recorded| recorded.revision);
-        let origin = Origin {
-            service: outbound.service.to_owned(),
-            software_version: server.software_version.clone(),
-        };
-        let kept = outbound.metadata.timeout.unwrap_or_default().max(outbound.route.timeout);
-        let remaining = outbound.deadline.saturating_duration_since(Instant::now());
-        let timeout = remaining.mul_f64(PLACEMENT_SHARE);
-        let assigned = turn.assign(origin.clone(), revision, kept, timeout).await;
-        tracing::info!(
-            request = outbound.metadata.id,
-            server = server.id,
-            previous = ?recorded,
-            ?assigned,
-            "origin of a stream changed"
-        );
-        match assigned {
-            Ok(assignment) if assignment.origin == origin => {
-                self.versions = Versions::Recorded(Some(assignment));
-                Ok(())
-            }
-            _ => Err(self.refuse("the origin of the stream could not be recorded")),
-        }
-    }
-
     /// Begins an attempt on a backend server, if there is room for the request after those that
     /// go before it.
     fn begin_attempt(
@@ -335,27 +301,10 @@
         let resumption = outbound.metadata.resumption.as_ref();
         let resumes = resumption.map(|resumption| resumption.origin.as_deref().unwrap_or_default());
         loop {
-            let opened = Instant::now();
-            let (connection, is_new) = match self.entry.pool.get(&address).await {
-                Ok(connection) => connection,
-                Err(error) => {
-                    tracing::info!(
-                        request = outbound.metadata.id,
-                        server = id,
-                        address,
-                        %error,
-                        ms = millis(opened.elapsed()),
-                        "no connection to a backend server"
-                    );
-                    attempt.end(Outcome::Failed);
-                    self.entry.report_failed_connection(&id);
-                    return AttemptResult::Unavailable;
-                }
+            let Some((connection, is_new)) = self.connect(outbound, &attempt.server).await else {
+                attempt.end(Outcome::Failed);
+                return AttemptResult::Unavailable;
             };
-            if is_new {
-                self.entry.metrics.connections.inc();
-                self.entry.report_opened_connection();
-            }
             let connection = attempt.connection.insert(connection);
             let remaining = outbound.deadline.saturating_duration_since(Instant::now());
             if remaining < MIN_DISPATCH_TIME {
@@ -404,6 +353,37 @@
         }
     }
 
+    /// Returns a connection to a backend server, and whether it is new; `None` if none can be
+    /// opened.
+    async fn connect(
+        &self,
+        outbound: &Outbound<'_>,
+        server: &Listing,
+    ) -> Option<(Connection, bool)> {
+        let started = Instant::now();
+        match self.entry.pool.get(&server.address).await {
+            Ok((connection, is_new)) => {
+                if is_new {
+                    self.entry.metrics.connections.inc();
+                    self.entry.report_opened_connection();
+                }
+                Some((connection, is_new))
+            }
+            Err(error) => {
+                tracing::info!(
+                    request = outbound.metadata.id,
+                    server = server.id,
+                    address = server.address,
+                    %error,
+                    ms = millis(started.elapsed()),
+                    "no connection to a backend server"
+                );
+                self.entry.report_failed_connection(&server.id);
+                None
+            }
+        }
+    }
+
     /// Waits for the response. The per-attempt timeout applies if the request may be repeated
     /// and has attempts remaining, another server has a free slot and the retry budget is not
     /// exhausted; otherwise only the deadline of the request applies.
