feat(gateway): a refusal names the rate limits that caused it

Cause: a refusal for lack of room said which service, not that its servers limit their rate, how old that is and how much of it the entry may use; request sent had the limit only (docs/incidents/server-limit-ignored.md). Change: limit::Status sums the limits of a service, with the entry's share and the age; the detail of the refusal has it, request sent has share and age. Conclusion: a refusal can be explained without looking up other lines by time.

--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -112,6 +112,42 @@
     pub at: Millis,
 }
 
+/// A limit in force on one instance, or the sum of several.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Status {
+    /// Number of limited servers.
+    pub servers: u32,
+    /// Requests per second that they accept from all instances.
+    pub per_second: f64,
+    /// Requests per second that the own instance may send them.
+    pub share: f64,
+    /// Time since the limit was observed, the longest of several, in milliseconds.
+    pub age_ms: Millis,
+}
+
+impl std::fmt::Display for Status {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { servers, per_second, share, age_ms } = self;
+        write!(
+            f,
+            "{servers} servers limit the rate to {per_second:.1} requests/s, {share:.1} of them for \
+             this instance, observed {age_ms} ms ago or later"
+        )
+    }
+}
+
+impl Status {
+    /// Adds another limit.
+    pub fn add(self, other: Self) -> Self {
+        Self {
+            servers: self.servers + other.servers,
+            per_second: self.per_second + other.per_second,
+            share: self.share + other.share,
+            age_ms: self.age_ms.max(other.age_ms),
+        }
+    }
+}
+
 /// State of one server's limit on one instance.
 #[derive(Debug, Clone, Default)]
 pub struct Limit {
@@ -134,6 +170,14 @@
         self.newest.filter(|newest| now < newest.at + expiry)?.per_second
     }
 
+    /// The limit with its age and the share of the own instance; `None` without a limit.
+    pub fn status(&self, now: Millis) -> Option<Status> {
+        let per_second = self.per_second(now)?;
+        let share = self.permits.as_ref().map_or(0.0, Bucket::rate);
+        let age_ms = now.saturating_sub(self.newest?.at);
+        Some(Status { servers: 1, per_second, share, age_ms })
+    }
+
     /// Records a response to the own instance; returns the previous limit if it differs.
     pub fn observe(
         &mut self,
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -17,7 +17,7 @@
 //! Two choices: M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
 
 use crate::Millis;
-use crate::limit::{Limit, Observation, Sharers};
+use crate::limit::{self, Limit, Observation, Sharers};
 use crate::routing;
 use serde::{Deserialize, Serialize};
 use state::collections::Map;
@@ -509,6 +509,12 @@
         self.servers.iter().filter_map(report).collect()
     }
 
+    /// Sum of the rate limits of a service's servers; `None` if none is limited.
+    pub fn limit_status(&self, now: Millis, service: &str) -> Option<limit::Status> {
+        let limits = self.of_service(service).filter_map(|server| server.limit.status(now));
+        limits.reduce(limit::Status::add)
+    }
+
     /// Number of listed servers with a rate limit.
     pub fn limited_count(&self, now: Millis) -> usize {
         self.servers.values().filter(|server| server.limit.per_second(now).is_some()).count()
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -83,6 +83,11 @@
         self.tokens = self.tokens.min(burst);
     }
 
+    /// Permits per second.
+    pub fn rate(&self) -> f64 {
+        self.per_second
+    }
+
     /// Number of permits that are available at `now`; none if the rate is 0.
     pub fn available(&self, now: Millis) -> u32 {
         if self.per_second > 0.0 { self.tokens_at(now) as u32 } else { 0 }
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -17,7 +17,7 @@
 use crate::member::servers::{Snapshot, Usage, View};
 use crate::node::Error;
 use coordination::Millis;
-use coordination::limit::Observation;
+use coordination::limit::{self, Observation};
 use coordination::placement::{self, Fleet};
 use coordination::reach::Reach;
 use coordination::retry::Budget;
@@ -252,10 +252,18 @@
     }
 
     /// Returns the load of a backend server and its rate limit, as known to this instance.
-    pub(crate) fn load_and_limit(&self, server: &str) -> (u32, Option<f64>) {
+    pub(crate) fn load_and_limit(&self, server: &str) -> (u32, Option<limit::Status>) {
         let fleet = self.fleet.lock().ok();
         let server = fleet.as_ref().and_then(|fleet| fleet.get(server));
-        server.map_or((0, None), |s| (s.load(), s.limit.per_second(self.now())))
+        server.map_or((0, None), |s| (s.load(), s.limit.status(self.now())))
+    }
+
+    /// Returns why the servers of a service have no room, as far as their rate limits are the
+    /// cause, to be added to the detail of a refusal; empty without a limit.
+    pub(crate) fn explain_limits(&self, service: &str) -> String {
+        let fleet = self.fleet.lock().ok();
+        let status = fleet.and_then(|fleet| fleet.limit_status(self.now(), service));
+        status.map_or_else(String::new, |status| format!("; {status}"))
     }
 
     /// Applies the rate limit that a backend server announces with a response.
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -200,6 +200,7 @@
                 let (service, ms) = (outbound.service, millis(expected));
                 let detail =
                     format!("no backend server of service {service} is usable for {ms} ms");
+                let detail = detail + &self.entry.explain_limits(service);
                 return Err(self.refuse_for(&detail, expected));
             }
         };
@@ -214,7 +215,7 @@
             }
         }
         let detail = format!("no backend server of service {} is usable", outbound.service);
-        Err(self.refuse(&detail))
+        Err(self.refuse(&(detail + &self.entry.explain_limits(outbound.service))))
     }
 
     /// Begins an attempt on a backend server of a version that the request may be sent to, if there
@@ -323,7 +324,9 @@
                 resumes,
                 is_last_server = outbound.last_server == Some(id.as_str()),
                 load,
-                rate_limit,
+                rate_limit = rate_limit.map(|limit| limit.per_second),
+                rate_share = rate_limit.map(|limit| limit.share),
+                rate_limit_age_ms = rate_limit.map(|limit| limit.age_ms),
                 attempt = self.progress.attempts + 1,
                 new_connection = is_new,
                 remaining_ms = millis(remaining),
