--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -138,7 +138,7 @@
 
 impl Status {
     /// Adds another limit.
-    pub fn add(self, other: Self) -> Self {
+    pub fn plus(self, other: Self) -> Self {
         Self {
             servers: self.servers + other.servers,
             per_second: self.per_second + other.per_second,
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -512,7 +512,7 @@
     /// Sum of the rate limits of a service's servers; `None` if none is limited.
     pub fn limit_status(&self, now: Millis, service: &str) -> Option<limit::Status> {
         let limits = self.of_service(service).filter_map(|server| server.limit.status(now));
-        limits.reduce(limit::Status::add)
+        limits.reduce(limit::Status::plus)
     }
 
     /// Number of listed servers with a rate limit.
