fix(placement): new programs leave a reserve that grows with the root of the slots

Change: new programs get all slots but 1.4 times their square root, half of the slots at most; placement.reserve_percent replaces full_for_new_percent. Measured: placement::new_programs_are_kept_from_servers_with_many_slots_like_from_those_with_few fails with 60 % (19 of 32).

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -39,9 +39,10 @@
     /// that stay on it. More would only wait there, regardless of priorities; engines admit several
     /// times their slots.
     pub full_percent: u32,
-    /// Load from which a server is sent no new programs, in percent of the slots. The difference to
-    /// `full_percent` is kept for programs under way.
-    pub full_for_new_percent: u32,
+    /// Slots that are kept free of new programs, in percent of the square root of all slots; half
+    /// of the slots at most. The number of requests of programs under way varies by about that
+    /// root, so servers with few slots need a larger part of them as a reserve.
+    pub reserve_percent: u32,
     /// Load from which a server counts as crowded, in percent of the slots: then more servers
     /// than the two chosen ones, and servers of other failure domains, are considered. Below it
     /// an engine's steps take little longer than for a single request.
@@ -64,7 +65,7 @@
         Self {
             stay_percent: 200,
             full_percent: 125,
-            full_for_new_percent: 60,
+            reserve_percent: 140,
             spill_percent: 75,
             spill_margin_percent: 25,
             suspend_ms: 250,
@@ -396,17 +397,24 @@
     /// Number of requests that can be placed on an available server now.
     fn room_on(&self, server: &Server, now: Millis, query: &Query<'_>) -> u32 {
         let is_last = query.last_server == Some(server.listed.id.as_str());
-        let percent = match (is_last, query.is_new) {
-            (true, _) => self.settings.stay_percent,
-            (false, false) => self.settings.full_percent,
-            (false, true) => self.settings.full_for_new_percent,
+        let all = server.listed.slots;
+        let slots = match (is_last, query.is_new) {
+            (true, _) => all.saturating_mul(self.settings.stay_percent) / 100,
+            (false, false) => all.saturating_mul(self.settings.full_percent) / 100,
+            (false, true) => all - self.reserve(all),
         };
-        let slots = server.listed.slots.saturating_mul(percent) / 100;
         let is_recent = now < self.loads_at + REMOTE_LOAD_MAX_AGE_MS;
         let load = if is_recent { server.load() } else { server.outstanding };
         slots.saturating_sub(load).min(server.limit.permits(now))
     }
 
+    /// Number of `slots` that are kept free of new programs.
+    fn reserve(&self, slots: u32) -> u32 {
+        let root = f64::from(slots).sqrt();
+        let reserve = root * f64::from(self.settings.reserve_percent) / 100.0;
+        (reserve.round() as u32).min(slots / 2)
+    }
+
     /// Chooses a server, or `None` if none is available.
     ///
     /// [`Fleet::begin`] must be called before another request is placed.
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -251,3 +251,13 @@
     let any = Query { service: "model", ..Query::default() };
     assert_eq!(fleet.versions(0, &any), ["v2"]);
 }
+
+#[test]
+fn new_programs_are_kept_from_servers_with_many_slots_like_from_those_with_few() {
+    for (slots, for_new) in [(1, 1), (4, 2), (8, 4), (12, 7), (16, 10), (32, 24), (128, 112)] {
+        let mut fleet = Fleet::new(Settings::default(), "a", "e1");
+        fleet.update(0, vec![Listing { slots, ..listed("s1", "a") }]);
+        let query = Query { service: "model", is_new: true, ..Query::default() };
+        assert_eq!(fleet.room(0, &query), for_new, "{slots} slots");
+    }
+}
