fix(gateway): requests that may be repeated leave links that begin to hang

Change: such a request is given up when the partition is found, and forwarded whether or not a server may have executed it. Conclusion: requests that may run once still wait, since their server may have them.

--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -96,6 +96,8 @@
     /// Connections to other entries, for requests that are forwarded.
     pub(crate) relays: Pool,
     pub(crate) reach: Mutex<Reach>,
+    /// Whether this instance reaches no backend server.
+    pub(crate) is_partitioned: watch::Sender<bool>,
     /// Notified when a connection to a backend server cannot be opened.
     pub(crate) connection_failed: Notify,
     pub(crate) metrics: Metrics,
@@ -138,6 +140,7 @@
             pool: Pool::new(settings.connector.clone()),
             relays: Pool::default(),
             reach: Mutex::default(),
+            is_partitioned: watch::Sender::new(false),
             connection_failed: Notify::new(),
             settings,
             adapter,
@@ -217,7 +220,7 @@
 
     /// Whether this instance reaches no backend server.
     pub(crate) fn is_partitioned(&self) -> bool {
-        self.reach.lock().is_ok_and(|reach| reach.is_partitioned())
+        *self.is_partitioned.borrow()
     }
 
     /// Records that no connection to a backend server could be opened.
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -42,6 +42,12 @@
             && !member.view.borrow().roster.relays().is_empty()
     }
 
+    /// Whether the request should be forwarded after attempts at backend servers.
+    pub(super) fn should_forward_after_attempts(&self, route: &Route) -> bool {
+        let may_repeat = !self.may_have_executed || route.retry == Retry::Always;
+        may_repeat && self.should_forward()
+    }
+
     /// Forwards the request to another entry; `None` if no other entry can be reached, so that
     /// the request was not executed.
     pub(super) async fn forward(
--- a/crates/transport/src/gateway/probe.rs
+++ b/crates/transport/src/gateway/probe.rs
@@ -47,6 +47,7 @@
                     "reach of servers changed"
                 );
                 self.metrics.partitioned.set(i64::from(is_partitioned));
+                self.is_partitioned.send_replace(is_partitioned);
                 self.member.set_partitioned(is_partitioned);
             }
         }
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -79,6 +79,8 @@
 enum Timeout {
     /// Per-attempt timeout; the request may be sent to another backend server.
     Attempt,
+    /// This instance reaches no backend server any more.
+    Partition,
     /// Deadline of the request.
     Request,
 }
@@ -117,7 +119,9 @@
                     }
                     return Ok(Some(*answered));
                 }
-                AttemptResult::Unavailable if self.should_forward() && !self.may_have_executed => {
+                AttemptResult::Unavailable
+                    if self.should_forward_after_attempts(outbound.route) =>
+                {
                     return Ok(None);
                 }
                 AttemptResult::Unavailable if skipped < MAX_SKIPPED => skipped += 1,
@@ -133,6 +137,9 @@
                 AttemptResult::NoResponse(detail) => {
                     self.may_have_executed = true;
                     self.progress.attempts += 1;
+                    if self.should_forward_after_attempts(outbound.route) {
+                        return Ok(None);
+                    }
                     let may_repeat = outbound.route.retry == Retry::Always;
                     if !may_repeat || self.progress.attempts >= outbound.route.max_attempts {
                         return Err(Refusal::new(Kind::Failed, detail).into());
@@ -210,7 +217,7 @@
             if let Some(attempt) = self.place(outbound, &query, class, ticket).await? {
                 return Ok(Some(attempt));
             }
-            if self.should_forward() && !self.may_have_executed {
+            if self.should_forward_after_attempts(outbound.route) {
                 return Ok(None);
             }
         }
@@ -350,6 +357,9 @@
                         "the backend server did not respond within the attempt timeout".to_owned(),
                     );
                 }
+                Err(Timeout::Partition) => {
+                    return AttemptResult::NoResponse("no backend server is reached".to_owned());
+                }
                 Err(Timeout::Request) => return AttemptResult::DeadlineExceeded,
             };
             return self.classify(response, attempt, &dispatch).await;
@@ -390,12 +400,37 @@
     /// Waits for the response. The per-attempt timeout applies if the request may be repeated
     /// and has attempts remaining, another server has a free slot and the retry budget is not
     /// exhausted; otherwise only the deadline of the request applies.
+    ///
+    /// A request that may be repeated is given up when this instance is found to be partitioned.
     async fn wait<T>(
         &self,
         outbound: &Outbound<'_>,
         response: impl Future<Output = T>,
         remaining: Duration,
         attempted: &[String],
+    ) -> Result<T, Timeout> {
+        let response = self.wait_for_timeouts(outbound, response, remaining, attempted);
+        if outbound.route.retry != Retry::Always {
+            return response.await;
+        }
+        let mut partitions = self.entry.is_partitioned.subscribe();
+        let begins = async {
+            // The entry holds the sender, so that the wait doesn't fail.
+            while partitions.changed().await.is_ok() && !*partitions.borrow_and_update() {}
+        };
+        tokio::select! {
+            response = response => response,
+            () = begins => Err(Timeout::Partition),
+        }
+    }
+
+    /// Waits for the response, without regard to partitions.
+    async fn wait_for_timeouts<T>(
+        &self,
+        outbound: &Outbound<'_>,
+        response: impl Future<Output = T>,
+        remaining: Duration,
+        attempted: &[String],
     ) -> Result<T, Timeout> {
         let may_repeat = outbound.route.retry == Retry::Always
             && self.progress.attempts + 1 < outbound.route.max_attempts;
