fix(gateway): a partitioned entry must not forward requests to itself

The roster names the entry itself until control has heard that it is partitioned, and it drew itself as the entry to forward to. Change: the own address is left out of the addresses to forward to; the refusal of a resumption says that no further server has the version.

--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -165,11 +165,12 @@
         selected.map(|entry| entry.address.clone()).collect()
     }
 
-    /// Returns the addresses to which an instance that reaches no backend server can forward
-    /// requests.
-    pub fn relays(&self) -> Vec<&str> {
+    /// Returns the addresses to which an entry that reaches no backend server can forward requests.
+    /// `own` is its own one, since the roster may not yet show that it is partitioned.
+    pub fn relays(&self, own: Option<&str>) -> Vec<&str> {
         let reaching = self.entries.iter().filter(|entry| !entry.is_partitioned);
-        reaching.filter_map(|entry| entry.relay.as_deref()).collect()
+        let relays = reaching.filter_map(|entry| entry.relay.as_deref());
+        relays.filter(|relay| Some(*relay) != own).collect()
     }
 }
 
--- a/crates/protocol/tests/presence.rs
+++ b/crates/protocol/tests/presence.rs
@@ -68,3 +68,17 @@
     assert_eq!(roster.near("b"), ["a1", "b1", "a2"]);
     assert_eq!(roster.near("elsewhere"), ["a1", "b1", "a2"]);
 }
+
+#[test]
+fn an_entry_forwards_requests_to_itself_or_to_one_without_backend_servers() {
+    let entry = |relay: &str, is_partitioned| Entry {
+        relay: Some(relay.to_owned()),
+        is_partitioned,
+        ..Entry::default()
+    };
+    let without_relay = Entry::default();
+    let entries = vec![entry("r1", false), entry("r2", true), without_relay, entry("r3", false)];
+    let roster = Roster { digest: 1, entries };
+    assert_eq!(roster.relays(Some("r1")), ["r3"]);
+    assert_eq!(roster.relays(None), ["r1", "r3"]);
+}
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -36,10 +36,9 @@
     /// Whether the request should be forwarded: this instance reaches no backend server, another
     /// entry does, and the request came from a caller.
     pub(super) fn should_forward(&self) -> bool {
-        let member = &self.entry.member;
         self.source == Source::Callers
             && self.entry.is_partitioned()
-            && !member.view.borrow().roster.relays().is_empty()
+            && !self.entry.member.relays().is_empty()
     }
 
     /// Whether the request should be forwarded after attempts at backend servers.
@@ -58,14 +57,10 @@
         body: &Bytes,
         deadline: Instant,
     ) -> Result<Option<Answered>, Error> {
-        let relays: Vec<String> = {
-            let roster = self.entry.member.view.borrow().roster.clone();
-            let relays = roster.relays();
-            let chosen = relays.sample(&mut rand::rng(), MAX_RELAYS);
-            chosen.map(|address| (*address).to_owned()).collect()
-        };
-        for relay in relays {
-            match self.forward_to(&relay, metadata, head, body, deadline).await? {
+        let relays = self.entry.member.relays();
+        let chosen: Vec<&String> = relays.sample(&mut rand::rng(), MAX_RELAYS).collect();
+        for relay in chosen {
+            match self.forward_to(relay, metadata, head, body, deadline).await? {
                 Forwarded::Answered(answered) => {
                     let (response, attempt) = *answered;
                     return Ok(Some(Answered::forwarded(response, attempt, deadline)));
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -251,8 +251,8 @@
                     self.entry.fleet.lock().is_ok_and(|fleet| fleet.has_candidate(&bound));
                 if !has_candidate {
                     let detail = format!(
-                        "no backend server of service {} has version {version}, which began the \
-                         stream",
+                        "no further backend server of service {} has version {version}, which began \
+                         the stream",
                         query.service
                     );
                     return Err(self.refuse_resumption("gone", &detail));
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -241,6 +241,13 @@
         roster.near(failure_domain)
     }
 
+    /// Returns the addresses of other entries to which this one can forward requests.
+    pub(crate) fn relays(&self) -> Vec<String> {
+        let roster = self.view.borrow().roster.clone();
+        let relays = roster.relays(self.settings.relay_address.as_deref());
+        relays.into_iter().map(str::to_owned).collect()
+    }
+
     /// Returns the known addresses of control instances, including the seeds.
     pub(crate) fn control_addresses(&self) -> Vec<String> {
         let mut all = self.view.borrow().control.clone();
