--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -47,8 +47,8 @@
         may_repeat && self.should_forward()
     }
 
-    /// Forwards the request to another entry; `None` if no other entry can be reached, so that
-    /// the request was not executed.
+    /// Forwards the request to another entry; `None` if none responded. A request that must not be
+    /// repeated was not executed then.
     pub(super) async fn forward(
         &mut self,
         metadata: &Metadata,
