feat(gateway): log how a response was framed and whether it ended within an event

Cause: the log of a request can't tell a body without a frame from one that is framed too short. Change: 'request ended' shows the framing, the number of bytes and whether the body ends within an event. No decision uses them.

--- a/crates/transport/src/gateway/events.rs
+++ b/crates/transport/src/gateway/events.rs
@@ -32,6 +32,8 @@
     max_count: u64,
     /// Length of the current event up to its last complete line, in bytes.
     event_bytes: usize,
+    /// Whether the current event has a complete line that is not a comment.
+    has_field: bool,
 }
 
 impl Parser {
@@ -71,10 +73,16 @@
         Ok(())
     }
 
+    /// Whether the bytes so far end within an event or a line.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.has_field || !self.line.is_empty()
+    }
+
     fn parse_line(&mut self, line: &[u8]) {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         if line.is_empty() {
             self.event_bytes = 0;
+            self.has_field = false;
             if let Some(data) = self.data.take() {
                 self.count += 1;
                 if self.collects_data {
@@ -84,6 +92,7 @@
             }
             return;
         }
+        self.has_field |= !line.starts_with(b":");
         let Some(value) = line.strip_prefix(b"data:") else {
             return;
         };
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -118,11 +118,11 @@
                 retry_ms = refusal.retry_after.map(millis),
                 "request refused"
             );
-            handler.progress.record_end(&kind, response.status().as_u16(), None, 0);
+            handler.progress.record_end(&kind, response.status().as_u16(), None);
             Ok(response.map(Body::Local))
         }
         Err(Error::Aborted(abort)) => {
-            handler.progress.record_end("caller broke off", 0, None, 0);
+            handler.progress.record_end("caller broke off", 0, None);
             Err(abort)
         }
     }
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod flow;
 mod forward;
+mod framing;
 mod headers;
 mod list;
 mod metrics;
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use crate::gateway::attempt::Attempt;
 use crate::gateway::entry::Entry;
 use crate::gateway::events::Parser;
+use crate::gateway::framing::Framing;
 use crate::gateway::stories::Record;
 use crate::gateway::turns::Turn;
 use crate::journal::Unreachable;
@@ -105,6 +106,19 @@
     pub(crate) list_age_ms: u64,
 }
 
+/// What was received of a backend server's response.
+pub(crate) struct Received<'a> {
+    /// Id of the backend server.
+    pub(crate) server: &'a str,
+    pub(crate) framing: Framing,
+    /// Length of the body so far, in bytes.
+    pub(crate) bytes: usize,
+    /// Number of complete events.
+    pub(crate) events: u64,
+    /// Whether the body ends within an event.
+    pub(crate) is_inside_event: bool,
+}
+
 /// A response that is being relayed.
 pub(crate) struct Relay {
     pub(crate) progress: Progress,
@@ -290,8 +304,15 @@
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
-        let events = self.events.as_ref().map_or(0, |events| events.count);
-        self.progress.record_end(outcome, self.status, Some(&self.server), events);
+        let events = self.events.as_ref();
+        let received = Received {
+            server: &self.server,
+            framing: Framing::of(&self.headers),
+            bytes: self.received,
+            events: events.map_or(0, |events| events.count),
+            is_inside_event: events.is_some_and(Parser::is_inside_event),
+        };
+        self.progress.record_end(outcome, self.status, Some(&received));
         self.progress.entry.metrics.duration.observe(self.progress.started.elapsed().as_secs_f64());
     }
 }
@@ -304,7 +325,9 @@
 
 impl Progress {
     /// Records the end of a request in the metrics, the list of recent requests and the log.
-    pub(crate) fn record_end(&self, outcome: &str, status: u16, server: Option<&str>, events: u64) {
+    pub(crate) fn record_end(&self, outcome: &str, status: u16, received: Option<&Received<'_>>) {
+        let server = received.map(|received| received.server);
+        let events = received.map_or(0, |received| received.events);
         self.entry.metrics.request(outcome);
         let ms = millis(self.started.elapsed());
         self.entry.records.add(Record {
@@ -328,6 +351,9 @@
             server,
             status,
             events,
+            framing = received.map(|received| received.framing.name()),
+            bytes = received.map(|received| received.bytes),
+            is_inside_event = received.map(|received| received.is_inside_event),
             ms,
             list_age_ms = self.list_age_ms,
             outcome,
