fix(gateway): a stream that ends within an event is broken off

The relay took the end of the body for the end of the stream. A body with neither length nor chunks ends with its connection, and a crashed server closes that like one that has sent everything; the relay then added the last chunk of its own. Change: a success on a streaming route is complete only if its last event is; a body framed by the connection alone must have an event, too. Otherwise the connection to the caller ends without the last chunk, the turn isn't recorded and the server counts as failed. The length of such a body isn't relayed, or the caller would take its last byte for the end. Bytes that arrived together with the end are flushed first: hyper drops them when the body fails, and the caller needs those events to take the stream up. Forwarded streams are checked by both entries.

--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -179,6 +179,7 @@
     pub(super) fn forwarded(
         response: Response<Incoming>,
         attempt: Attempt,
+        is_stream: bool,
         deadline: Instant,
     ) -> Self {
         Self {
@@ -186,7 +187,7 @@
             attempt,
             turn: None,
             draft: None,
-            is_stream: false,
+            is_stream,
             tokens_per_event: 0,
             max_events: u64::MAX,
             deadline,
@@ -344,11 +345,14 @@
         let (mut head, body) = response.into_parts();
         let original = std::mem::take(&mut head.headers);
         head.headers = headers::end_to_end(&original);
-        if draft.is_some() {
-            // The body may end only after the turn is recorded. With a content length, the
-            // caller would take the last byte for the end.
+        let is_event_stream =
+            is_stream && head.status.is_success() && headers::admit_event_stream(&original);
+        if draft.is_some() || is_event_stream {
+            // The body may end only after the turn is recorded and the last event is complete.
+            // With a content length, the caller would take the last byte for the end.
             head.headers.remove(header::CONTENT_LENGTH);
         }
+        let is_length_relayed = head.headers.contains_key(header::CONTENT_LENGTH);
         self.entry.metrics.first_byte.observe(self.progress.started.elapsed().as_secs_f64());
         let mut progress = self.progress;
         progress.attempts += 1;
@@ -356,6 +360,8 @@
             progress,
             status: head.status.as_u16(),
             headers: original,
+            is_length_relayed,
+            is_event_stream,
             body,
             attempt,
             events: is_stream.then(|| Parser::new(answered.max_events, draft.is_some())),
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -63,7 +63,8 @@
             match self.forward_to(relay, metadata, head, body, deadline).await? {
                 Forwarded::Answered(answered) => {
                     let (response, attempt) = *answered;
-                    return Ok(Some(Answered::forwarded(response, attempt, deadline)));
+                    let is_stream = route.is_stream;
+                    return Ok(Some(Answered::forwarded(response, attempt, is_stream, deadline)));
                 }
                 Forwarded::Unreachable => {}
                 Forwarded::NoResponse(_) if route.retry == Retry::Always => {
--- a/crates/transport/src/gateway/framing.rs
+++ b/crates/transport/src/gateway/framing.rs
@@ -1,11 +1,12 @@
-//! How the body of a response is delimited, as its head announces it.
+//! How the body of a response is delimited.
 
 use http::{HeaderMap, header};
+use http_body::Body;
 
 /// What marks the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
-    /// A content length.
+    /// A known length, which is 0 if the response has no body.
     Length,
     /// The last chunk of a chunked transfer coding.
     Chunks,
@@ -14,12 +15,12 @@
 }
 
 impl Framing {
-    /// Returns the framing that the headers of a response announce.
-    pub(crate) fn of(headers: &HeaderMap) -> Self {
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            Self::Chunks
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
+    /// Returns the framing of a body that is not read yet, given the headers of its response.
+    pub(crate) fn of(body: &impl Body, headers: &HeaderMap) -> Self {
+        if body.size_hint().exact().is_some() {
             Self::Length
+        } else if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunks
         } else {
             Self::Connection
         }
--- a/crates/transport/src/gateway/headers.rs
+++ b/crates/transport/src/gateway/headers.rs
@@ -1,4 +1,4 @@
-//! Removal of hop-by-hop headers, which a proxy must not forward.
+//! Removal of hop-by-hop headers, which a proxy must not forward, and the type of a body.
 
 use http::{HeaderMap, header};
 
@@ -31,3 +31,12 @@
     }
     forwarded
 }
+
+/// Whether the body may be an event stream: its type is that or is not announced.
+pub(super) fn admit_event_stream(headers: &HeaderMap) -> bool {
+    let announced = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    announced.is_none_or(|announced| {
+        let essence = announced.split(';').next().unwrap_or_default().trim();
+        essence.eq_ignore_ascii_case("text/event-stream")
+    })
+}
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -126,6 +126,9 @@
     pub(crate) body: Incoming,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) headers: HeaderMap,
+    framing: Framing,
+    is_length_relayed: bool,
+    is_event_stream: bool,
     pub(crate) events: Option<Parser>,
     pub(crate) tokens_per_event: u64,
     pub(crate) turn: Option<Turn>,
@@ -133,6 +136,8 @@
     pub(crate) deadline: Instant,
     pub(crate) timer: Pin<Box<Sleep>>,
     recording: Option<Recording>,
+    /// How the response is about to end early.
+    aborting: Option<Abort>,
     server: String,
     /// Number of bytes of the body so far.
     received: usize,
@@ -144,7 +149,12 @@
 pub(crate) struct Params {
     pub(crate) progress: Progress,
     pub(crate) status: u16,
+    /// Headers of the backend server's response.
     pub(crate) headers: HeaderMap,
+    /// Whether the caller is told the length of the body in advance.
+    pub(crate) is_length_relayed: bool,
+    /// Whether the body is complete only if its last event is.
+    pub(crate) is_event_stream: bool,
     pub(crate) body: Incoming,
     pub(crate) attempt: Attempt,
     pub(crate) events: Option<Parser>,
@@ -162,9 +172,12 @@
         Self {
             progress: params.progress,
             status: params.status,
+            framing: Framing::of(&params.body, &params.headers),
             body: params.body,
             attempt: Some(params.attempt),
             headers: params.headers,
+            is_length_relayed: params.is_length_relayed,
+            is_event_stream: params.is_event_stream,
             events: params.events,
             tokens_per_event: params.tokens_per_event,
             turn: params.turn,
@@ -172,6 +185,7 @@
             deadline: params.deadline,
             timer: Box::pin(tokio::time::sleep_until(params.deadline)),
             recording: None,
+            aborting: None,
             server,
             received: 0,
             has_ended: false,
@@ -183,6 +197,9 @@
         if self.has_ended {
             return Poll::Ready(None);
         }
+        if let Some(abort) = self.aborting.take() {
+            return Poll::Ready(Some(Err(self.abort(abort))));
+        }
         if self.timer.as_mut().poll(context).is_ready() {
             return Poll::Ready(Some(Err(self.abort(Abort::DeadlineExceeded))));
         }
@@ -212,7 +229,7 @@
                     );
                     return Poll::Ready(Some(Err(self.abort(Abort::Excess))));
                 }
-                if self.draft.is_none() && self.body.is_end_stream() {
+                if self.is_length_relayed && self.body.is_end_stream() {
                     // The server does not poll again after the last byte of a body whose
                     // length is known.
                     self.finish();
@@ -221,7 +238,7 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 tracing::debug!(request = self.progress.id, %error, "response body ended early");
-                Poll::Ready(Some(Err(self.abort(Abort::Server))))
+                self.abort_after_flush(Abort::Server, context)
             }
             Poll::Ready(None) => self.complete(context),
         }
@@ -246,9 +263,22 @@
         Ok(())
     }
 
+    /// Whether the body ended before the stream did. A server that crashes closes its connection,
+    /// which also ends a body that has no other framing.
+    fn is_broken_off(&self) -> bool {
+        self.is_event_stream
+            && self.events.as_ref().is_some_and(|events| {
+                let is_empty = self.framing == Framing::Connection && events.count == 0;
+                is_empty || events.is_inside_event()
+            })
+    }
+
     /// Handles the end of the backend server's body: starts recording the turn if it is to be
     /// retained and the response is a success, otherwise ends the request.
     fn complete(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
+        if self.is_broken_off() {
+            return self.abort_after_flush(Abort::Server, context);
+        }
         let is_success = (200..300).contains(&self.status);
         let retained =
             self.draft.take().filter(|_| is_success).zip(self.turn.take_if(|_| is_success));
@@ -282,6 +312,18 @@
         }
     }
 
+    /// Lets the caller's connection send the frames that it has before the response is aborted,
+    /// since an error of the body drops them.
+    fn abort_after_flush(
+        &mut self,
+        abort: Abort,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
+        self.aborting = Some(abort);
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     /// Ends the request early; the connection to the backend server is closed.
     fn abort(&mut self, abort: Abort) -> Abort {
         if let Some(attempt) = self.attempt.take() {
@@ -307,7 +349,7 @@
         let events = self.events.as_ref();
         let received = Received {
             server: &self.server,
-            framing: Framing::of(&self.headers),
+            framing: self.framing,
             bytes: self.received,
             events: events.map_or(0, |events| events.count),
             is_inside_event: events.is_some_and(Parser::is_inside_event),
