fix(placement): one version is settled only after lists of one stream's duration

An entry took its first list for the history of the service.

Change: Fleet::only_version counts from the first list in a row that shows the same versions, also if that is the first list of all. Until then such a request is refused, not executed.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -201,8 +201,9 @@
 struct Versions {
     /// Sorted, without duplicates.
     current: Vec<String>,
-    /// Time at which a list last showed other versions than the one before; `None` if none did.
-    changed_at: Option<Millis>,
+    /// Time of the first list in a row that shows these versions. What the servers had before the
+    /// first list of all is not known.
+    since: Millis,
 }
 
 /// One instance's view of the listed backend servers.
@@ -284,13 +285,10 @@
             listed.sort_unstable();
             listed.dedup();
             let current = listed.into_iter().map(str::to_owned).collect();
-            match self.versions_by_service.get_mut(service) {
-                Some(versions) if versions.current == current => {}
-                Some(versions) => *versions = Versions { current, changed_at: Some(now) },
-                None => {
-                    let versions = Versions { current, changed_at: None };
-                    self.versions_by_service.insert(service.to_owned(), versions);
-                }
+            let known = self.versions_by_service.get(service);
+            if known.is_none_or(|versions| versions.current != current) {
+                let versions = Versions { current, since: now };
+                self.versions_by_service.insert(service.to_owned(), versions);
             }
         }
     }
@@ -366,11 +364,12 @@
         versions
     }
 
-    /// The software version of all servers of a service; `None` if there are several, there were
-    /// other ones within the last `period` milliseconds, or no server is listed.
+    /// The software version that all servers of a service have had for at least `period`
+    /// milliseconds; `None` if there are several, no server is listed, or the lists do not go back
+    /// that far.
     pub fn only_version(&self, now: Millis, service: &str, period: Millis) -> Option<&str> {
         let versions = self.versions_by_service.get(service)?;
-        let is_settled = versions.changed_at.is_none_or(|changed_at| now >= changed_at + period);
+        let is_settled = now >= versions.since + period;
         match versions.current.as_slice() {
             [only] if is_settled => Some(only),
             _ => None,
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -219,7 +219,8 @@
     let mut fleet = Fleet::new(Settings::default(), "a", "e1");
     assert_eq!(fleet.only_version(0, "model", 3_000), None);
     fleet.update(0, vec![versioned("s1", "v1")]);
-    assert_eq!(fleet.only_version(0, "model", 3_000), Some("v1"));
+    assert_eq!(fleet.only_version(2_999, "model", 3_000), None, "before the first list");
+    assert_eq!(fleet.only_version(3_000, "model", 3_000), Some("v1"));
     fleet.update(5_000, vec![versioned("s1", "v1"), versioned("s2", "v2")]);
     assert_eq!(fleet.only_version(9_000, "model", 3_000), None);
     fleet.update(10_000, vec![versioned("s2", "v2")]);
--- a/crates/transport/src/gateway/origin.rs
+++ b/crates/transport/src/gateway/origin.rs
@@ -60,7 +60,7 @@
         };
         if resumption.is_some() && versions.is_empty() {
             let detail = "the request doesn't name the one that began the stream, and its servers \
-                          had several software versions lately";
+                          may have had several software versions lately";
             return Err(self.refuse_resumption("unnamed", detail));
         }
         let origin = |software_version| Origin { service: service.to_owned(), software_version };
