fix(gateway): a forwarded request that may have been executed isn't denied

Cause: callers of a partitioned entry got 503, which says that the request was not executed, for a safe request that a server had executed before it was forwarded. The entry that it was forwarded to doesn't know of that attempt, and its refusal was passed on. Change: such a refusal becomes 502 if an attempt of this entry may have been executed. The adapter says which statuses deny the execution.

--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -5,7 +5,7 @@
 //! classifies its response.
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, request, response};
+use http::{HeaderMap, Response, StatusCode, request, response};
 use http_body_util::Full;
 use protocol::routes::Config;
 use state::error::Kind;
@@ -116,6 +116,9 @@
     /// Classifies a backend server's response by its head.
     fn verdict(&self, head: &response::Parts, dispatch: &Dispatch<'_>) -> Verdict;
 
+    /// Whether a response with this status says that the request was not executed.
+    fn denies_execution(&self, status: StatusCode) -> bool;
+
     /// Reads the rate limit that a backend server announces with a response, in requests per
     /// second of all instances together; `None` if it announces none.
     ///
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -63,6 +63,11 @@
             match self.forward_to(relay, metadata, head, body, deadline).await? {
                 Forwarded::Answered(answered) => {
                     let (response, attempt) = *answered;
+                    let status = response.status();
+                    if self.may_have_executed && self.entry.adapter.denies_execution(status) {
+                        let detail = format!("the entry that it was forwarded to answers {status}");
+                        return Err(Refusal::new(Kind::Failed, detail).into());
+                    }
                     let is_stream = route.is_stream;
                     return Ok(Some(Answered::forwarded(response, attempt, is_stream, deadline)));
                 }
