fix(gateway): a response that breaks off resets the connection of an HTTP/1.0 caller

Cause: found while looking for the cause of the broken-off streams elsewhere. A caller that knows no chunks gets a body that ends with its connection, so a stream that breaks off looks complete to it. Change: the connection is reset if the response to a request of HTTP/1.0 fails; others end as before, since a reset may drop what is under way.

--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -5,11 +5,14 @@
 
 use crate::gateway::entry::Entry;
 use crate::gateway::flow::{self, Source};
+use http::{Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -79,8 +82,12 @@
         tracing::debug!(%error, "cannot set socket options of a connection of a caller");
     }
     let limits = entry.table().map(|table| *table.limits()).unwrap_or_default();
-    let service = service_fn(move |request| flow::respond(entry.clone(), request, source));
-    let connection = http1::Builder::new()
+    let knows_chunks = AtomicBool::new(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
+        flow::respond(entry.clone(), request, source)
+    });
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts this timeout from the end of the last response, so it also limits how
         // long a connection may be idle.
@@ -88,16 +95,26 @@
         .max_buf_size(limits.head_bytes + BUFFER_MARGIN)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => ended,
         () = wait_for_phase(&mut phase, Phase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = ended {
         tracing::debug!(%error, "connection of a caller ended");
+        if !knows_chunks.load(Ordering::Relaxed) {
+            // The end of the connection would complete the body.
+            reset(connection.into_parts().io.inner());
+        }
+    }
+}
+
+/// Makes the connection end with a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(%error, "a broken-off response may look complete to its caller");
     }
 }
 
