--- /dev/null
+++ b/crates/protocol/tests/encodings.rs
@@ -0,0 +1,297 @@
+//! Encoded examples of what an instance sends and stores on the platform.
+//!
+//! Instances of two builds run side by side during an upgrade, and a build reads what another one
+//! has stored. So each example must encode to, and decode from, the same bytes in all builds.
+
+use coordination::consensus::{Entry, HardState, Members, Message, Meta, Payload, Peer};
+use coordination::membership::Candidate;
+use coordination::placement::Listing;
+use protocol::presence::{self, Heartbeat, RateLimit, Relay, Replica, Role, Roster, Update};
+use protocol::wire::{Envelope, Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use state::history::{Memory, Store};
+use state::journal;
+use state::machine::{self, StateMachine};
+use state::registry::{self, Document, Registry, Voter};
+use state::turn::{self, Assignment, Begin, End, Origin, Record, Reservation, Start, Turns};
+use std::collections::BTreeMap;
+use std::fmt::{Debug, Write};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        write!(text, "{byte:02x}").unwrap();
+        text
+    })
+}
+
+/// Returns the bytes of the example `name` in `encodings.txt`.
+fn example(name: &str) -> Vec<u8> {
+    let lines = include_str!("encodings.txt").lines();
+    let line = lines.filter_map(|line| line.split_once(' ')).find(|(found, _)| *found == name);
+    let (_, digits) = line.unwrap_or_else(|| panic!("no example {name}"));
+    let pairs = digits.as_bytes().chunks(2);
+    pairs.map(|pair| u8::from_str_radix(str::from_utf8(pair).unwrap(), 16).unwrap()).collect()
+}
+
+/// Checks that `value` encodes to the example `name`, and that the example decodes to it.
+fn check<T: Serialize + DeserializeOwned + PartialEq + Debug>(name: &str, value: &T) {
+    assert_eq!(hex(&machine::encode(value).unwrap()), hex(&example(name)), "{name}");
+    assert_eq!(&machine::decode::<T>(&example(name)).unwrap(), value, "{name}");
+}
+
+fn members() -> Members {
+    let voters = BTreeMap::from([(1, "a:1".to_owned()), (2, "b:1".to_owned())]);
+    Members { voters, learners: BTreeMap::from([(3, "c:1".to_owned())]) }
+}
+
+fn listing() -> Listing {
+    Listing {
+        id: "s1".into(),
+        service: "model".into(),
+        address: "10.0.0.1:80".into(),
+        failure_domain: "a".into(),
+        slots: 32,
+        is_draining: true,
+        software_version: "v1.1".into(),
+    }
+}
+
+fn registry() -> Registry {
+    Registry {
+        revision: 3,
+        document: Some(Document { version: 7, content: b"{}".to_vec() }),
+        initial_members: BTreeMap::from([(1, vec![Voter { id: 5, address: "a:1".into() }])]),
+        retiring: BTreeMap::from([("store-1".to_owned(), 2)]),
+    }
+}
+
+fn rate_limit() -> RateLimit {
+    RateLimit { server: "s1".into(), per_second: Some(2.5), age_ms: 40 }
+}
+
+#[test]
+fn consensus_message_of_another_build_is_not_understood() {
+    let entries = vec![
+        Entry { term: 2, index: 8, payload: Payload::Empty },
+        Entry { term: 2, index: 9, payload: Payload::Data(b"command".to_vec()) },
+        Entry { term: 2, index: 10, payload: Payload::Members(members()) },
+    ];
+    let messages = [
+        Message::Vote {
+            term: 3,
+            is_pre_vote: true,
+            is_transfer: false,
+            last_index: 9,
+            last_term: 2,
+        },
+        Message::VoteReply { term: 3, is_pre_vote: false, is_granted: true },
+        Message::Append { term: 2, prev_index: 7, prev_term: 1, entries, commit: 6, round: 300 },
+        Message::AppendReply { term: 2, is_ok: true, index: 10, round: 300 },
+        Message::Chunk {
+            term: 2,
+            meta: Meta { index: 9, term: 2, members: members() },
+            number: 4,
+            offset: 5,
+            total: 6,
+            digest: [9; 32],
+            data: b"chunk".to_vec(),
+        },
+        Message::ChunkReply { term: 2, number: 4, offset: 10 },
+        Message::Transfer { term: 2 },
+    ];
+    for (number, message) in messages.into_iter().enumerate() {
+        let envelope = Envelope { group: 1, from: 1, to: 2, message };
+        check(&format!("consensus-{number}"), &Request::Consensus(vec![envelope]));
+    }
+}
+
+#[test]
+fn request_of_another_build_is_not_understood() {
+    let (command, query) = (b"command".to_vec(), b"query".to_vec());
+    let heartbeat = Heartbeat {
+        name: "front-1".into(),
+        address: "10.0.0.1:7000".into(),
+        failure_domain: "a".into(),
+        role: Role::Entry,
+        callers: Some("10.0.0.1:7001".into()),
+        relay: Some("10.0.0.1:7015".into()),
+        is_ready: true,
+        is_partitioned: false,
+        replica: Some(Replica {
+            id: 5,
+            is_leader: true,
+            term: 2,
+            members: vec!["a:1".into()],
+            revision: 3,
+        }),
+        revision: 4,
+        wants_relay: true,
+        list_digest: 77,
+        roster_digest: 78,
+        in_flight: vec![("s1".into(), 12)],
+        rate_limits: vec![rate_limit()],
+    };
+    let requests = [
+        ("submit", Request::Submit { group: 1, command: command.clone() }),
+        ("query", Request::Query { group: 1, query: query.clone() }),
+        ("submit-then-query", Request::SubmitThenQuery { group: 1, command, query }),
+        ("heartbeat", Request::Heartbeat(Box::new(heartbeat))),
+        ("probe", Request::Probe),
+        ("dump", Request::Dump { section: Some("journals".into()) }),
+        ("join", Request::Join { group: 1, instance: "store-1".into(), id: 5 }),
+    ];
+    for (name, request) in requests {
+        check(&format!("request-{name}"), &request);
+    }
+}
+
+#[test]
+fn response_of_another_build_is_not_understood() {
+    let reply = presence::Reply {
+        registry: Some(registry()),
+        control: vec!["10.0.0.4:7000".into()],
+        programs: vec!["10.0.0.5:7000".into()],
+        has_leader: true,
+        candidates: vec![Candidate {
+            id: 5,
+            address: "a:1".into(),
+            failure_domain: "a".into(),
+            is_leaving: true,
+        }],
+        revision: 3,
+        list: Some(Relay { digest: 77, age_ms: 300, servers: Some(Update::Full(vec![listing()])) }),
+        in_flight: vec![4],
+        rate_limits: vec![rate_limit()],
+        roster: Some(Roster {
+            digest: 78,
+            entries: vec![presence::Entry {
+                failure_domain: "a".into(),
+                address: "10.0.0.1:7001".into(),
+                relay: Some("10.0.0.1:7015".into()),
+                is_partitioned: false,
+            }],
+        }),
+    };
+    let delta = Update::Delta { base: 76, removed: vec!["s0".into()], upserted: vec![listing()] };
+    let relay = Relay { digest: 77, age_ms: 300, servers: Some(delta) };
+    let difference = presence::Reply { list: Some(relay), ..presence::Reply::default() };
+    let peer = Peer { instance: "store-1".into(), is_fresh: true };
+    let responses = [
+        ("done", Response::Done),
+        ("data", Response::Data(b"reply".to_vec())),
+        ("submit-then-query", Response::SubmitThenQuery(b"reply".to_vec(), b"view".to_vec())),
+        ("heartbeat", Response::HeartbeatReply(Box::new(reply))),
+        ("heartbeat-delta", Response::HeartbeatReply(Box::new(difference))),
+        ("not-leader", Response::NotLeader(Some("a:1".into()))),
+        ("unknown", Response::Unknown),
+        ("text", Response::Text("{}".into())),
+        ("peer", Response::Peer { peer, has_identity: true }),
+    ];
+    for (name, response) in responses {
+        check(&format!("response-{name}"), &response);
+    }
+}
+
+fn begin() -> Begin {
+    Begin {
+        turn: "t2".into(),
+        reservation: Some(Reservation { program: "p1".into(), budget: 1_000, tokens: 300 }),
+        previous: Some("t1".into()),
+        retention_ms: 60_000,
+        start: Some(Start {
+            first: Some("t0".into()),
+            candidates: vec![Origin { service: "model".into(), software_version: "v1".into() }],
+            kept_ms: 4_000,
+        }),
+        now_ms: 1_000_000,
+    }
+}
+
+#[test]
+fn turn_command_of_another_build_is_not_understood() {
+    let origin = Origin { service: "model".into(), software_version: "v1.1".into() };
+    let record =
+        Record { previous: Some("t1".into()), content: b"content".to_vec(), retention_ms: 60_000 };
+    let end = End {
+        turn: "t2".into(),
+        program: Some("p1".into()),
+        tokens: 50,
+        server: Some("s1".into()),
+        record: Some(record),
+        now_ms: 1_000_100,
+    };
+    let assign = turn::Assign {
+        turn: "t2".into(),
+        origin: origin.clone(),
+        revision: 1,
+        kept_ms: 4_000,
+        now_ms: 1_000_050,
+    };
+    check("turn-begin", &turn::Command::Begin(begin()));
+    check("turn-end", &turn::Command::End(end));
+    check("turn-assign", &turn::Command::Assign(assign));
+    check("turn-query", &turn::Query::Chain("t2".into()));
+    let assignment = Assignment { origin, revision: 2 };
+    let replies = [
+        turn::Reply::Done,
+        turn::Reply::Begun { server: Some("s1".into()), stream: Some(assignment.clone()) },
+        turn::Reply::Assigned(assignment),
+        turn::Reply::UnknownStream,
+        turn::Reply::Exhausted { remaining: 7 },
+        turn::Reply::NoSuchTurn,
+        turn::Reply::Ended,
+    ];
+    for (number, reply) in replies.into_iter().enumerate() {
+        check(&format!("turn-reply-{number}"), &reply);
+    }
+}
+
+#[test]
+fn registry_of_another_build_is_not_understood() {
+    let document = Document { version: 7, content: b"{}".to_vec() };
+    let initial_members = vec![Voter { id: 5, address: "a:1".into() }];
+    check("registry-put", &registry::Command::Put(document));
+    check("registry-bootstrap", &registry::Command::Bootstrap { group: 1, initial_members });
+    check("registry-retire", &registry::Command::Retire { instance: "store-1".into() });
+    check("registry-superseded", &registry::Reply::Superseded { version: 7 });
+    check("registry-query", &registry::Query::All);
+    check("registry", &registry());
+}
+
+#[test]
+fn journal_record_of_another_build_is_not_understood() {
+    let hard_state = machine::encode(&HardState { term: 2, vote: Some(1) }).unwrap();
+    let entry = Entry { term: 2, index: 9, payload: Payload::Data(b"command".to_vec()) };
+    let meta = machine::encode(&Meta { index: 9, term: 2, members: members() }).unwrap();
+    check("journal-meta", &journal::Record::Meta(hard_state));
+    let body = machine::encode(&entry).unwrap();
+    check("journal-entry", &journal::Record::Entry { index: 9, body });
+    check("journal-truncate", &journal::Record::Truncate(9));
+    let state = b"state".to_vec();
+    check("journal-snapshot", &journal::Record::Snapshot { index: 9, meta, state });
+}
+
+#[test]
+fn snapshot_of_turns_of_another_build_is_not_understood() {
+    let mut turns = Turns::new(Box::new(Memory::default()));
+    let first = Begin { turn: "t1".into(), previous: None, start: None, ..begin() };
+    let stream = Start { first: None, ..begin().start.unwrap() };
+    let stream = Begin { turn: "t0".into(), previous: None, start: Some(stream), ..begin() };
+    let record = Record { previous: None, content: b"content".to_vec(), retention_ms: 60_000 };
+    let end = End { turn: "t1".into(), record: Some(record), ..End::default() };
+    for command in [
+        turn::Command::Begin(Begin { reservation: None, ..first }),
+        turn::Command::End(end),
+        turn::Command::Begin(stream),
+    ] {
+        turns.execute(command).unwrap();
+    }
+    assert_eq!(hex(&turns.save().unwrap()), hex(&example("turns")));
+    let mut history = Memory::default();
+    history.append(b"content").unwrap();
+    let mut restored = Turns::new(Box::new(history));
+    restored.load(&example("turns")).unwrap();
+    assert_eq!(hex(&restored.save().unwrap()), hex(&example("turns")));
+    assert_eq!(restored.dump(), turns.dump());
+}
--- a/crates/protocol/tests/main.rs
+++ b/crates/protocol/tests/main.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod backend;
+mod encodings;
 mod presence;
 mod routes;
 mod settings;
