feat(member): control instances tell for how long the versions of a service are the same

Change: the reply to a heartbeat that brings the complete list also says which versions the lists have shown and for how long. An entry adds that to its own time if its own lists have shown no others and the relayed list is fresh. The history of versions moves out of placement.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod reach;
 pub mod retry;
 pub mod routing;
+pub mod versions;
 pub mod waiting;
 
 /// Time since an arbitrary origin, in milliseconds; it never decreases.
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -19,6 +19,7 @@
 use crate::Millis;
 use crate::limit::{self, Limit, Observation, Sharers};
 use crate::routing;
+use crate::versions::{History, Settled};
 use serde::{Deserialize, Serialize};
 use state::collections::Map;
 
@@ -196,16 +197,6 @@
     }
 }
 
-/// Software versions of the listed servers of one service.
-#[derive(Debug, Clone, Default)]
-struct Versions {
-    /// Sorted, without duplicates.
-    current: Vec<String>,
-    /// Time of the first list in a row that shows these versions. What the servers had before the
-    /// first list of all is not known.
-    since: Millis,
-}
-
 /// One instance's view of the listed backend servers.
 #[derive(Debug, Clone)]
 pub struct Fleet {
@@ -213,7 +204,7 @@
     failure_domain: String,
     servers: Map<String, Server>,
     by_service: Map<String, Vec<String>>,
-    versions_by_service: Map<String, Versions>,
+    versions: History,
     listed_at: Option<Millis>,
     sharers: Sharers,
     /// Time of the last report of the other instances' loads.
@@ -228,7 +219,7 @@
             failure_domain: failure_domain.to_owned(),
             servers: Map::default(),
             by_service: Map::default(),
-            versions_by_service: Map::default(),
+            versions: History::default(),
             listed_at: None,
             sharers: Sharers::new(address),
             loads_at: 0,
@@ -270,27 +261,16 @@
         changes.extend(std::mem::take(&mut self.servers).into_keys().map(Change::Gone));
         self.servers = servers;
         self.by_service = by_service;
-        self.update_versions(now);
+        let listed = self.servers.values().map(|server| &server.listed);
+        let versions = listed.map(|l| (l.service.as_str(), l.software_version.as_str()));
+        self.versions.update(now, versions);
         self.listed_at = Some(now);
         changes
     }
 
-    /// Records which software versions the servers of each service have.
-    fn update_versions(&mut self, now: Millis) {
-        let mut listed_versions: Map<&str, Vec<&str>> = Map::default();
-        for listed in self.servers.values().map(|server| &server.listed) {
-            listed_versions.entry(&listed.service).or_default().push(&listed.software_version);
-        }
-        for (service, mut listed) in listed_versions {
-            listed.sort_unstable();
-            listed.dedup();
-            let current = listed.into_iter().map(str::to_owned).collect();
-            let known = self.versions_by_service.get(service);
-            if known.is_none_or(|versions| versions.current != current) {
-                let versions = Versions { current, since: now };
-                self.versions_by_service.insert(service.to_owned(), versions);
-            }
-        }
+    /// Adds what another instance knows of the servers' software versions.
+    pub fn extend_versions(&mut self, now: Millis, settled: &[Settled]) {
+        self.versions.extend(now, settled);
     }
 
     /// Records that the list was read again at `now` and has not changed.
@@ -365,15 +345,9 @@
     }
 
     /// The software version that all servers of a service have had for at least `period`
-    /// milliseconds; `None` if there are several, no server is listed, or the lists do not go back
-    /// that far.
+    /// milliseconds; see [`History::only`].
     pub fn only_version(&self, now: Millis, service: &str, period: Millis) -> Option<&str> {
-        let versions = self.versions_by_service.get(service)?;
-        let is_settled = now >= versions.since + period;
-        match versions.current.as_slice() {
-            [only] if is_settled => Some(only),
-            _ => None,
-        }
+        self.versions.only(now, service, period)
     }
 
     /// States of the servers that satisfy the query and may be chosen. If all servers that can take
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Tests of the placement of requests on backend servers.
 
 use coordination::placement::{Fleet, Listing, Outcome, Query, Settings};
+use coordination::versions::Settled;
 
 fn listed(id: &str, domain: &str) -> Listing {
     Listing {
@@ -214,6 +215,28 @@
     assert!(!fleet.has_candidate(&query(Some("v1"))));
 }
 
+#[test]
+fn what_another_instance_knows_of_versions_counts_from_its_first_list() {
+    let settled = |version: &str| {
+        let versions = vec![version.to_owned()];
+        [Settled { service: "model".into(), versions, age_ms: 10_000 }]
+    };
+    let mut fleet = Fleet::new(Settings::default(), "a", "e1");
+    fleet.extend_versions(500, &settled("v1"));
+    fleet.update(500, vec![versioned("s1", "v1")]);
+    assert_eq!(fleet.only_version(1_000, "model", 3_000), None, "known before the first list");
+    fleet.extend_versions(1_000, &settled("v2"));
+    assert_eq!(fleet.only_version(1_000, "model", 3_000), None, "of another version");
+    fleet.extend_versions(1_000, &settled("v1"));
+    assert_eq!(fleet.only_version(1_000, "model", 10_000), Some("v1"));
+    assert_eq!(fleet.only_version(1_000, "model", 10_001), None);
+    assert_eq!(fleet.only_version(1_500, "model", 10_500), Some("v1"));
+    fleet.update(2_000, vec![versioned("s1", "v2")]);
+    fleet.extend_versions(2_000, &settled("v2"));
+    assert_eq!(fleet.only_version(4_999, "model", 3_000), None, "after a change");
+    assert_eq!(fleet.only_version(5_000, "model", 3_000), Some("v2"));
+}
+
 #[test]
 fn a_service_has_one_version_once_the_others_are_gone_for_some_time() {
     let mut fleet = Fleet::new(Settings::default(), "a", "e1");
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -7,7 +7,8 @@
 use coordination::consensus::Id;
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
-use serde::{Deserialize, Serialize};
+use coordination::versions::Settled;
+use serde::{Deserialize, Deserializer, Serialize};
 use state::collections::{Map, Set};
 use state::registry::Registry;
 
@@ -214,4 +215,17 @@
     pub rate_limits: Vec<RateLimit>,
     /// The ready entries, for entries; `None` if the receiver's roster is up to date.
     pub roster: Option<Roster>,
+    /// Software versions of the services in the list; filled only with a complete list. Earlier
+    /// builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub versions: Vec<Settled>,
+}
+
+/// Decodes the last field of a message, which ends before it if an earlier build has sent it.
+fn tail<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -6,6 +6,7 @@
 use coordination::consensus::{Entry, HardState, Members, Message, Meta, Payload, Peer};
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
+use coordination::versions::Settled;
 use protocol::presence::{self, Heartbeat, RateLimit, Relay, Replica, Role, Roster, Update};
 use protocol::wire::{Envelope, Request, Response};
 use serde::Serialize;
@@ -40,6 +41,16 @@
     assert_eq!(&machine::decode::<T>(&example(name)).unwrap(), value, "{name}");
 }
 
+/// Checks that the example `name` of an earlier build decodes to `value`, and that this build appends
+/// to it what that build doesn't read.
+fn check_without_tail<T: Serialize + DeserializeOwned + PartialEq + Debug>(name: &str, value: &T) {
+    assert_eq!(&machine::decode::<T>(&example(name)).unwrap(), value, "{name}");
+    let encoded = machine::encode(value).unwrap();
+    assert_eq!(hex(&encoded[..example(name).len()]), hex(&example(name)), "{name}");
+    let extended = [example(name).as_slice(), b"any"].concat();
+    assert!(machine::decode::<T>(&extended).is_ok(), "{name} with a tail");
+}
+
 fn members() -> Members {
     let voters = BTreeMap::from([(1, "a:1".to_owned()), (2, "b:1".to_owned())]);
     Members { voters, learners: BTreeMap::from([(3, "c:1".to_owned())]) }
@@ -163,6 +174,7 @@
         list: Some(Relay { digest: 77, age_ms: 300, servers: Some(Update::Full(vec![listing()])) }),
         in_flight: vec![4],
         rate_limits: vec![rate_limit()],
+        versions: Vec::new(),
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -181,8 +193,6 @@
         ("done", Response::Done),
         ("data", Response::Data(b"reply".to_vec())),
         ("submit-then-query", Response::SubmitThenQuery(b"reply".to_vec(), b"view".to_vec())),
-        ("heartbeat", Response::HeartbeatReply(Box::new(reply))),
-        ("heartbeat-delta", Response::HeartbeatReply(Box::new(difference))),
         ("not-leader", Response::NotLeader(Some("a:1".into()))),
         ("unknown", Response::Unknown),
         ("text", Response::Text("{}".into())),
@@ -191,6 +201,15 @@
     for (name, response) in responses {
         check(&format!("response-{name}"), &response);
     }
+    let versions = vec![Settled {
+        service: "model".into(),
+        versions: vec!["v1".into(), "v1.1".into()],
+        age_ms: 9_000,
+    }];
+    let extended = presence::Reply { versions, ..reply.clone() };
+    check("response-heartbeat-versions", &Response::HeartbeatReply(Box::new(extended)));
+    check_without_tail("response-heartbeat", &Response::HeartbeatReply(Box::new(reply)));
+    check_without_tail("response-heartbeat-delta", &Response::HeartbeatReply(Box::new(difference)));
 }
 
 fn begin() -> Begin {
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -357,6 +357,8 @@
                 self.apply_list(snapshot);
             }
             if let Ok(mut fleet) = self.fleet.lock() {
+                let now = self.now();
+                fleet.extend_versions(now, &view.versions.settled(now));
                 fleet.set_remote_loads(self.now(), &view.loads);
                 self.apply_relayed_limits(&mut fleet, &view);
             }
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -151,7 +151,12 @@
         member.servers.send_modify(|view| {
             view.relayed_at = Some(Instant::now());
             let digest = relayed.digest;
-            view.apply(relayed);
+            let now = member.clock.now();
+            view.apply(relayed, now);
+            // An isolated control instance may have missed a change of versions.
+            if !view.is_stale() {
+                view.versions.extend(now, &reply.versions);
+            }
             view.update_loads(digest, &reply.in_flight);
             view.rate_limits = Arc::new(reply.rate_limits);
         });
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -14,7 +14,7 @@
 use crate::rpc::{self, Handler};
 use crate::tcp::Transport;
 use coordination::membership::{self, Candidate};
-use protocol::presence::{Heartbeat, Reply, Role, Roster};
+use protocol::presence::{Heartbeat, Reply, Role, Roster, Update};
 use protocol::wire::{Request, Response};
 use state::collections::Map;
 use state::machine;
@@ -349,12 +349,16 @@
         let (name, role, revision) = (heartbeat.name.clone(), heartbeat.role, heartbeat.revision);
         let (wants_relay, roster) = (heartbeat.wants_relay, heartbeat.roster_digest);
         let is_relayed = wants_relay && role != Role::Programs;
-        let (snapshot, list) = match is_relayed {
+        let (snapshot, list, versions) = match is_relayed {
             true => {
                 let view = self.servers.borrow();
-                (view.list.clone(), view.relay(heartbeat.list_digest))
+                let list = view.relay(heartbeat.list_digest);
+                let servers = list.as_ref().and_then(|list| list.servers.as_ref());
+                let is_complete = matches!(servers, Some(Update::Full(_)));
+                let versions = is_complete.then(|| view.versions.settled(self.clock.now()));
+                (view.list.clone(), list, versions.unwrap_or_default())
             }
-            false => (None, None),
+            false => (None, None, Vec::new()),
         };
         let Ok(mut presence) = self.presence.lock() else {
             return Response::Unknown;
@@ -385,6 +389,7 @@
             in_flight: servers.map(|list| presence.loads(&name, &list)).unwrap_or_default(),
             rate_limits: if serves_callers { presence.rate_limits(&name) } else { Vec::new() },
             roster: if serves_callers { presence.roster(roster) } else { None },
+            versions,
         };
         Response::HeartbeatReply(Box::new(reply))
     }
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -8,8 +8,10 @@
 use crate::clock::millis;
 use crate::gateway::List;
 use crate::member::node::Member;
+use coordination::Millis;
 use coordination::placement::Listing;
 use coordination::routing;
+use coordination::versions::History;
 use protocol::presence::{RateLimit, Relay, Update};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -52,6 +54,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct View {
     pub(crate) list: Option<Snapshot>,
+    /// Software versions that the lists have shown.
+    pub(crate) versions: History,
     /// Earlier lists, newest last.
     earlier: VecDeque<Snapshot>,
     /// Outstanding requests of the other entries, by id of the backend server.
@@ -98,8 +102,12 @@
         self.age().is_none_or(|age| age > MAX_AGE + self.read_time())
     }
 
-    /// Replaces the list; the previous one is retained if its content differs.
-    pub(crate) fn replace(&mut self, snapshot: Snapshot) {
+    /// Replaces the list at `now`; the previous one is retained if its content differs.
+    pub(crate) fn replace(&mut self, snapshot: Snapshot, now: Millis) {
+        let read_at = now.saturating_sub(millis(snapshot.read_at.elapsed()));
+        let servers = snapshot.servers.iter();
+        let versions = servers.map(|l| (l.service.as_str(), l.software_version.as_str()));
+        self.versions.update(read_at, versions);
         let old = self.list.replace(snapshot);
         let is_new = old.as_ref().map(|old| old.digest) != self.list.as_ref().map(|new| new.digest);
         if let Some(old) = old.filter(|_| is_new) {
@@ -132,8 +140,8 @@
         }
     }
 
-    /// Applies a relayed list if it was read later than the local one.
-    pub(crate) fn apply(&mut self, relayed: Relay) {
+    /// Applies a list that is relayed at `now` if it was read later than the local one.
+    pub(crate) fn apply(&mut self, relayed: Relay, now: Millis) {
         let Some(read_at) = Instant::now().checked_sub(Duration::from_millis(relayed.age_ms))
         else {
             return;
@@ -153,7 +161,7 @@
             self.list.as_ref().map(|snapshot| (snapshot.digest, snapshot.servers.as_slice()));
         let applied = servers.apply(base).map(|servers| Snapshot::new(servers, read_at));
         match applied.filter(|snapshot| snapshot.digest == relayed.digest) {
-            Some(snapshot) => self.replace(snapshot),
+            Some(snapshot) => self.replace(snapshot, now),
             // Without a local list, the next reply contains the complete list.
             None => {
                 tracing::warn!(
@@ -202,7 +210,8 @@
                 if had_failed {
                     tracing::info!(count = servers.len(), "backend server list can be read again");
                 }
-                self.servers.send_modify(|view| view.replace(Snapshot::new(servers, read_at)));
+                let (snapshot, now) = (Snapshot::new(servers, read_at), self.clock.now());
+                self.servers.send_modify(|view| view.replace(snapshot, now));
                 true
             }
             Err(error) => {
