--- a/crates/coordination/src/versions.rs
+++ b/crates/coordination/src/versions.rs
@@ -19,6 +19,7 @@
     pub age_ms: Millis,
 }
 
+/// What this instance knows of the versions of one service.
 #[derive(Debug, Clone)]
 struct Versions {
     /// Sorted, without duplicates.
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -359,7 +359,7 @@
             if let Ok(mut fleet) = self.fleet.lock() {
                 let now = self.now();
                 fleet.extend_versions(now, &view.versions.settled(now));
-                fleet.set_remote_loads(self.now(), &view.loads);
+                fleet.set_remote_loads(now, &view.loads);
                 self.apply_relayed_limits(&mut fleet, &view);
             }
         }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -346,7 +346,7 @@
         let original = std::mem::take(&mut head.headers);
         head.headers = headers::end_to_end(&original);
         let is_event_stream =
-            is_stream && head.status.is_success() && headers::admit_event_stream(&original);
+            is_stream && head.status.is_success() && headers::may_be_event_stream(&original);
         if draft.is_some() || is_event_stream {
             // The body may end only after the turn is recorded and the last event is complete.
             // With a content length, the caller would take the last byte for the end.
--- a/crates/transport/src/gateway/headers.rs
+++ b/crates/transport/src/gateway/headers.rs
@@ -33,7 +33,7 @@
 }
 
 /// Whether the body may be an event stream: its type is that or is not announced.
-pub(super) fn admit_event_stream(headers: &HeaderMap) -> bool {
+pub(super) fn may_be_event_stream(headers: &HeaderMap) -> bool {
     let announced = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     announced.is_none_or(|announced| {
         let essence = announced.split(';').next().unwrap_or_default().trim();
