feat(member): log which versions of services were relayed

Cause: an entry took over the relayed history of versions without a line in its log, though that decides whether a stream is taken up. Change: one line with the sender, the versions, and whether the list is fresh; only replies with a complete list have it, so it comes once after a start. Measured: cargo test -p buckthornshelf-platform versions: 10 pass.

--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -154,9 +154,13 @@
             let now = member.clock.now();
             view.apply(relayed, now);
             // An isolated control instance may have missed a change of versions.
-            if !view.is_stale() {
+            let is_fresh = !view.is_stale();
+            if is_fresh {
                 view.versions.extend(now, &reply.versions);
             }
+            if !reply.versions.is_empty() {
+                tracing::info!(from, is_fresh, versions = ?reply.versions, "versions relayed");
+            }
             view.update_loads(digest, &reply.in_flight);
             view.rate_limits = Arc::new(reply.rate_limits);
         });
