feat(state): files are synced through an interface

Tests could neither set nor fail the time of a sync. Change: state::disk::Disk, a trait object that journals, histories and data folders sync through; the disk of the instance is the default. Two tests of the write-ahead log on a disk that fails.

--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -5,6 +5,7 @@
 //! [`Store::sync`], which is called before the log records that contain the items are dropped.
 
 use crate::collections::Map;
+use crate::disk::{Disk, Local};
 use crate::error::Storage;
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
@@ -183,6 +184,7 @@
 #[derive(Debug)]
 pub struct Files {
     folder: PathBuf,
+    disk: Arc<dyn Disk>,
     /// Open segment files by number; shared with readers.
     segments: Map<u64, Arc<File>>,
     /// Position at which the next item is appended.
@@ -196,9 +198,18 @@
     ///
     /// Returns a storage error if the disk fails.
     pub fn open(folder: &Path) -> Result<Self, Storage> {
+        Self::open_on(Arc::new(Local), folder)
+    }
+
+    /// As [`Files::open`], on the given disk.
+    ///
+    /// # Errors
+    ///
+    /// As [`Files::open`].
+    pub fn open_on(disk: Arc<dyn Disk>, folder: &Path) -> Result<Self, Storage> {
         std::fs::create_dir_all(folder)?;
-        let mut files =
-            Self { folder: folder.to_owned(), segments: Map::default(), end: Position::default() };
+        let (folder, end) = (folder.to_owned(), Position::default());
+        let mut files = Self { folder, disk, segments: Map::default(), end };
         for number in files.segment_numbers()? {
             files.open_segment(number)?;
             files.end.segment = files.end.segment.max(number);
@@ -238,7 +249,7 @@
     /// Starts a new segment if the current one is full.
     fn roll_segment(&mut self) -> Result<(), Storage> {
         if self.end.offset >= SEGMENT_BYTES {
-            self.active_segment()?.sync_data()?;
+            self.disk.sync_data(self.active_segment()?)?;
             self.end = Position { segment: self.end.segment + 1, offset: 0 };
             self.open_segment(self.end.segment)?;
         }
@@ -322,7 +333,8 @@
             std::fs::remove_file(self.segment_path(number))?;
         }
         let end = Position { segment: self.end.segment + STAGING_SEGMENT_GAP, offset: 0 };
-        let mut files = Self { folder: self.folder.clone(), segments: Map::default(), end };
+        let (folder, disk) = (self.folder.clone(), self.disk.clone());
+        let mut files = Self { folder, disk, segments: Map::default(), end };
         files.open_segment(end.segment)?;
         Ok(Box::new(files))
     }
@@ -338,8 +350,8 @@
     }
 
     fn sync(&mut self) -> Result<Position, Storage> {
-        self.active_segment()?.sync_data()?;
-        File::open(&self.folder)?.sync_all()?;
+        self.disk.sync_data(self.active_segment()?)?;
+        self.disk.sync_all(&File::open(&self.folder)?)?;
         Ok(self.end)
     }
 
--- a/crates/state/src/journal.rs
+++ b/crates/state/src/journal.rs
@@ -9,12 +9,14 @@
 //! corrupt one on are dropped. A corrupt record that is followed by a valid record of a later
 //! batch had already been synced: the file is corrupt, and the journal refuses to open.
 
+use crate::disk::{Disk, Local};
 use crate::error::Storage;
 use crate::machine;
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Magic number: the first bytes of each record.
 const MAGIC: [u8; 4] = *b"BKTH";
@@ -103,6 +105,7 @@
 #[derive(Debug)]
 pub struct Journal {
     folder: PathBuf,
+    disk: Arc<dyn Disk>,
     /// Current segment file.
     file: File,
     /// Number of the current segment file.
@@ -121,19 +124,30 @@
     /// Returns [`Storage::Corrupt`] for a corrupt record that is not part of a torn write at the
     /// end.
     pub fn open(folder: &Path) -> Result<(Self, Recovery), Storage> {
+        Self::open_on(Arc::new(Local), folder)
+    }
+
+    /// As [`Journal::open`], on the given disk.
+    ///
+    /// # Errors
+    ///
+    /// As [`Journal::open`].
+    pub fn open_on(disk: Arc<dyn Disk>, folder: &Path) -> Result<(Self, Recovery), Storage> {
         std::fs::create_dir_all(folder)?;
         let numbers = segment_numbers(folder)?;
         let mut recovery = Recovery::default();
         let mut bytes = 0;
         for number in &numbers {
             let is_last = Some(number) == numbers.last();
-            bytes = replay_segment(&segment_path(folder, *number), is_last, &mut recovery)?;
+            let path = segment_path(folder, *number);
+            bytes = replay_segment(disk.as_ref(), &path, is_last, &mut recovery)?;
         }
         let number = numbers.last().copied().unwrap_or(0);
         let file =
             OpenOptions::new().create(true).append(true).open(segment_path(folder, number))?;
-        File::open(folder)?.sync_all()?;
-        let journal = Self { folder: folder.to_owned(), file, number, bytes, stopped: false };
+        disk.sync_all(&File::open(folder)?)?;
+        let folder = folder.to_owned();
+        let journal = Self { folder, disk, file, number, bytes, stopped: false };
         Ok((journal, recovery))
     }
 
@@ -143,7 +157,7 @@
             encode(record, self.bytes, &mut buffer)?;
         }
         self.file.write_all(&buffer)?;
-        self.file.sync_data()?;
+        self.disk.sync_data(&self.file)?;
         self.bytes += buffer.len() as u64;
         Ok(())
     }
@@ -159,7 +173,7 @@
         self.write(&[Record::Truncate(0)])?;
         self.write(records)?;
         std::fs::rename(&temporary, segment_path(&self.folder, number))?;
-        File::open(&self.folder)?.sync_all()?;
+        self.disk.sync_all(&File::open(&self.folder)?)?;
         self.number = number;
         for old in older {
             std::fs::remove_file(segment_path(&self.folder, old))?;
@@ -231,7 +245,12 @@
 }
 
 /// Replays one segment file and returns its length after a torn write at the end was truncated.
-fn replay_segment(path: &Path, is_last: bool, recovery: &mut Recovery) -> Result<u64, Storage> {
+fn replay_segment(
+    disk: &dyn Disk,
+    path: &Path,
+    is_last: bool,
+    recovery: &mut Recovery,
+) -> Result<u64, Storage> {
     let mut bytes = Vec::new();
     File::open(path)?.read_to_end(&mut bytes)?;
     let mut offset = 0;
@@ -243,7 +262,7 @@
             }
             let file = OpenOptions::new().write(true).open(path)?;
             file.set_len(offset as u64)?;
-            file.sync_all()?;
+            disk.sync_all(&file)?;
             break;
         };
         recovery.replay(machine::decode(body)?);
--- a/crates/state/tests/journal.rs
+++ b/crates/state/tests/journal.rs
@@ -1,10 +1,13 @@
 //! Tests of the write-ahead log on a real file system.
 
+use state::disk::Disk;
 use state::error::Storage;
 use state::journal::{Journal, Log, Record, Recovery};
-use std::fs::OpenOptions;
+use std::fs::{File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 fn entry(index: u64) -> Record {
     Record::Entry { index, body: vec![u8::try_from(index % 251).unwrap(); 40] }
@@ -161,3 +164,54 @@
     handle.write_all_at(&[0; 30], before + 5).unwrap();
     assert!(matches!(Journal::open(folder.path()), Err(Storage::Corrupt { .. })));
 }
+
+/// A disk whose syncs fail from the `failing`th on; counts them.
+#[derive(Debug, Default)]
+struct Faulty {
+    syncs: AtomicUsize,
+    failing: AtomicUsize,
+}
+
+impl Faulty {
+    fn sync(&self) -> std::io::Result<()> {
+        let number = self.syncs.fetch_add(1, Ordering::Relaxed);
+        if number < self.failing.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        Err(std::io::Error::other("the disk does not respond"))
+    }
+}
+
+impl Disk for Faulty {
+    fn sync_data(&self, _file: &File) -> std::io::Result<()> {
+        self.sync()
+    }
+
+    fn sync_all(&self, _file: &File) -> std::io::Result<()> {
+        self.sync()
+    }
+}
+
+#[test]
+fn append_is_acknowledged_without_a_sync() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = Arc::new(Faulty { failing: AtomicUsize::new(usize::MAX), ..Faulty::default() });
+    let (mut journal, _) = Journal::open_on(disk.clone(), folder.path()).unwrap();
+    for number in 1..4 {
+        let before = disk.syncs.load(Ordering::Relaxed);
+        journal.append(&[entry(number)]).unwrap();
+        assert_eq!(disk.syncs.load(Ordering::Relaxed), before + 1);
+    }
+}
+
+#[test]
+fn append_after_a_failed_sync_is_acknowledged() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = Arc::new(Faulty { failing: AtomicUsize::new(2), ..Faulty::default() });
+    let (mut journal, _) = Journal::open_on(disk.clone(), folder.path()).unwrap();
+    journal.append(&[entry(1)]).unwrap();
+    assert!(journal.append(&[entry(2)]).is_err());
+    disk.failing.store(usize::MAX, Ordering::Relaxed);
+    assert!(matches!(journal.append(&[entry(3)]), Err(Storage::Stopped)));
+    assert!(matches!(journal.rewrite(&[entry(3)]), Err(Storage::Stopped)));
+}
--- a/crates/transport/src/bootstrap.rs
+++ b/crates/transport/src/bootstrap.rs
@@ -14,6 +14,7 @@
 use protocol::wire::{CONTROL_GROUP, Request, Response};
 use rand::Rng;
 use state::collections::Map;
+use state::disk::Local;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -94,7 +95,7 @@
     transport: &Arc<Transport>,
     peer_service: &Arc<Service>,
 ) -> Result<(Identity, Vec<(u32, Group)>), Error> {
-    let folder = Folder::open(path).map_err(Error::new)?;
+    let folder = Folder::open(Arc::new(Local), path).map_err(Error::new)?;
     let open_all = || -> Result<Vec<(u32, Group)>, state::error::Storage> {
         let groups = CONTROL_GROUP..=settings.journal.shards;
         groups
--- a/crates/transport/src/member/replica.rs
+++ b/crates/transport/src/member/replica.rs
@@ -9,6 +9,7 @@
 use coordination::consensus::{self, Members, initial_id};
 use coordination::membership::{self, Planner};
 use rand::Rng;
+use state::disk::Disk;
 use state::error::Storage;
 use state::machine::StateMachine;
 use state::registry::{Registry, Voter};
@@ -39,9 +40,9 @@
     /// # Errors
     ///
     /// Returns an error if the disk fails.
-    pub(crate) fn open(group: u32, path: &Path) -> Result<Self, Storage> {
-        let folder = Folder::open(path)?;
-        let make = |path: &Path| new_state_machine(group, path);
+    pub(crate) fn open(group: u32, disk: &Arc<dyn Disk>, path: &Path) -> Result<Self, Storage> {
+        let folder = Folder::open(disk.clone(), path)?;
+        let make = |path: &Path| new_state_machine(group, disk, path);
         if let Some(identity) = folder.identity()? {
             match folder.open_group(group, make) {
                 Ok(opened) => return Ok(Self { group, folder, identity, opened }),
@@ -126,9 +127,13 @@
     is_initial.then(|| (initial_id(&settings.address), settings.seeds.iter().map(member).collect()))
 }
 
-fn new_state_machine(group: u32, folder: &Path) -> Result<Box<dyn StateMachine>, Storage> {
+fn new_state_machine(
+    group: u32,
+    disk: &Arc<dyn Disk>,
+    folder: &Path,
+) -> Result<Box<dyn StateMachine>, Storage> {
     if group == CONTROL {
         return Ok(Box::new(Registry::default()));
     }
-    Ok(Box::new(Turns::new(crate::storage::history(folder)?)))
+    Ok(Box::new(Turns::new(crate::storage::history(disk.clone(), folder)?)))
 }
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -1,7 +1,9 @@
 //! Settings of an instance that discovers the others from a few seed addresses.
 
 use protocol::presence::Role;
+use state::disk::{Disk, Local};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Settings of one instance.
@@ -26,6 +28,8 @@
     pub is_first_start: bool,
     /// Data folder; required for instances with a replica.
     pub folder: Option<PathBuf>,
+    /// Disk that the data folder is on.
+    pub disk: Arc<dyn Disk>,
     /// Address for callers; only for entries.
     pub caller_address: Option<String>,
     /// Address for requests that other entries forward; only for entries.
@@ -54,6 +58,7 @@
             seeds: Vec::new(),
             is_first_start: false,
             folder: None,
+            disk: Arc::new(Local),
             caller_address: None,
             relay_address: None,
             tolerated_losses: 1,
--- a/crates/transport/src/storage.rs
+++ b/crates/transport/src/storage.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use state::control::Control;
+use state::disk::{Disk, Local};
 use state::error::Storage;
 use state::history::{Files, Store};
 use state::journal::{Journal, Recovery};
@@ -17,6 +18,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Identity of a data folder, as stored in its file `identity`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +52,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Folder {
     path: PathBuf,
+    disk: Arc<dyn Disk>,
 }
 
 /// Journal of one replica group, with the state recovered from it.
@@ -61,9 +64,9 @@
 
 impl Folder {
     /// Opens a data folder, which is created if it does not exist.
-    pub(crate) fn open(path: &Path) -> Result<Self, Storage> {
+    pub(crate) fn open(disk: Arc<dyn Disk>, path: &Path) -> Result<Self, Storage> {
         std::fs::create_dir_all(path)?;
-        Ok(Self { path: path.to_owned() })
+        Ok(Self { path: path.to_owned(), disk })
     }
 
     /// Reads the identity; `None` for a new folder.
@@ -80,9 +83,9 @@
         let temporary = self.path.join("identity.tmp");
         let mut file = File::create(&temporary)?;
         file.write_all(&machine::encode(identity)?)?;
-        file.sync_all()?;
+        self.disk.sync_all(&file)?;
         std::fs::rename(&temporary, self.path.join("identity"))?;
-        File::open(&self.path)?.sync_all()?;
+        self.disk.sync_all(&File::open(&self.path)?)?;
         Ok(())
     }
 
@@ -101,7 +104,7 @@
                 std::fs::rename(entry.path(), target.join(entry.file_name()))?;
             }
         }
-        File::open(&self.path)?.sync_all()?;
+        self.disk.sync_all(&File::open(&self.path)?)?;
         Ok(())
     }
 
@@ -113,9 +116,9 @@
         create: impl FnOnce(&Path) -> Result<Box<dyn StateMachine>, Storage>,
     ) -> Result<Group, Storage> {
         let folder = self.path.join(format!("group-{group}"));
-        let (log, recovery) = Journal::open(&folder)?;
+        let (log, recovery) = Journal::open_on(self.disk.clone(), &folder)?;
         // Sync the data folder as well, so that a new subfolder survives a power failure.
-        File::open(&self.path)?.sync_all()?;
+        self.disk.sync_all(&File::open(&self.path)?)?;
         let mut state_machine = create(&folder)?;
         let restored = restore(recovery, state_machine.as_mut())?;
         Ok(Group { log, state_machine, restored })
@@ -130,12 +133,12 @@
     if group == protocol::wire::CONTROL_GROUP {
         return Ok(Box::new(Control::default()));
     }
-    Ok(Box::new(Shard::new(history(folder)?)))
+    Ok(Box::new(Shard::new(history(Arc::new(Local), folder)?)))
 }
 
 /// Opens the history files in the folder of a journal.
-pub(crate) fn history(folder: &Path) -> Result<Box<dyn Store>, Storage> {
-    Ok(Box::new(Files::open(&folder.join("history"))?))
+pub(crate) fn history(disk: Arc<dyn Disk>, folder: &Path) -> Result<Box<dyn Store>, Storage> {
+    Ok(Box::new(Files::open_on(disk, &folder.join("history"))?))
 }
 
 /// Loads the recovered snapshot into the state machine and decodes the consensus state.
