fix(gateway): a stream whose lines end with carriage returns is broken off

The parser took only a line feed for the end of a line, so a whole stream of lines that end with a lone carriage return, or one whose last blank line of CRLF lacks its line feed, reached its caller without its end, and its turn was not retained. Ruled out: callers that send `Connection: close`, whose test passed from the start. Change: a line ends with a carriage return, a line feed or both, as the format says, also when both arrive in different parts. Measured: cargo test -p buckthornshelf-platform broken_streams: whole_stream_looks_broken_off failed with the two streams, then 10 of 10 pass.

--- a/crates/transport/src/gateway/events.rs
+++ b/crates/transport/src/gateway/events.rs
@@ -34,6 +34,8 @@
     event_bytes: usize,
     /// Whether the current event has a complete line that is not a comment.
     has_field: bool,
+    /// Whether the last byte was a carriage return, so that a line feed belongs to the same line end.
+    ends_with_return: bool,
 }
 
 impl Parser {
@@ -49,7 +51,11 @@
     ///
     /// Returns the limit that the stream exceeds; then it must not be parsed further.
     pub(crate) fn feed(&mut self, mut bytes: &[u8]) -> Result<(), Excess> {
-        while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
+        if self.ends_with_return && !bytes.is_empty() {
+            self.ends_with_return = false;
+            bytes = bytes.strip_prefix(b"\n").unwrap_or(bytes);
+        }
+        while let Some(end) = bytes.iter().position(|byte| matches!(byte, b'\n' | b'\r')) {
             self.event_bytes += self.line.len() + end;
             if self.event_bytes > EVENT_BYTES {
                 return Err(Excess::Event);
@@ -61,7 +67,12 @@
                 line.extend_from_slice(&bytes[..end]);
                 self.parse_line(&line);
             }
+            let is_return = bytes[end] == b'\r';
             bytes = &bytes[end + 1..];
+            self.ends_with_return = is_return && bytes.is_empty();
+            if is_return {
+                bytes = bytes.strip_prefix(b"\n").unwrap_or(bytes);
+            }
             if self.count > self.max_count {
                 return Err(Excess::Count(self.max_count));
             }
@@ -79,7 +90,6 @@
     }
 
     fn parse_line(&mut self, line: &[u8]) {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
         if line.is_empty() {
             self.event_bytes = 0;
             self.has_field = false;
