feat(storage): a data folder of a later format is left untouched

Cause: an instance that returns to an earlier build can't tell a folder that a later build has written in another format from its own. A record with another header counts as a torn write and is truncated; one that can't be decoded stops the process with an error that names no version. Change: a folder may have a file `format` with a number. An instance whose build doesn't know the number, or can't read it, ends before it opens anything, with an error that names both. Raising it once all members know it is open.

--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -89,6 +89,20 @@
         /// Offset of the corrupt record, in bytes.
         offset: u64,
     },
+    /// The data folder was written in a format that this build does not know.
+    #[error("data folder has format {found}, this build reads up to format {known}")]
+    Format {
+        /// Format of the data folder.
+        found: u32,
+        /// Latest format that this build reads.
+        known: u32,
+    },
+    /// The file that holds the format of the data folder does not hold a number.
+    #[error("data folder: {found:?} in the file `format` is not a format number")]
+    UnreadableFormat {
+        /// Content of the file.
+        found: String,
+    },
     /// A record cannot be encoded or decoded.
     #[error("journal: record cannot be decoded: {0}")]
     Codec(#[from] postcard::Error),
--- a/crates/transport/src/storage.rs
+++ b/crates/transport/src/storage.rs
@@ -20,6 +20,10 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+/// Format of the data folders that this build reads and writes: that of the records, snapshots and
+/// commands in the journals. A folder of the first format has no file `format`.
+const FORMAT: u32 = 1;
+
 /// Identity of a data folder, as stored in its file `identity`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Identity {
@@ -63,9 +67,11 @@
 }
 
 impl Folder {
-    /// Opens a data folder, which is created if it does not exist.
+    /// Opens a data folder, which is created if it does not exist. The folder of a build with a later
+    /// format is not changed.
     pub(crate) fn open(disk: Arc<dyn Disk>, path: &Path) -> Result<Self, Storage> {
         std::fs::create_dir_all(path)?;
+        check_format(path)?;
         Ok(Self { path: path.to_owned(), disk })
     }
 
@@ -125,6 +131,20 @@
     }
 }
 
+/// Checks that this build knows the format of the data folder.
+fn check_format(folder: &Path) -> Result<(), Storage> {
+    let text = match std::fs::read(folder.join("format")) {
+        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(()),
+        Err(error) => return Err(error.into()),
+    };
+    match text.trim().parse() {
+        Ok(found) if found > FORMAT => Err(Storage::Format { found, known: FORMAT }),
+        Ok(_) => Ok(()),
+        Err(_) => Err(Storage::UnreadableFormat { found: text }),
+    }
+}
+
 /// Creates the empty state machine of the control group or of a program shard.
 pub(crate) fn create_state_machine(
     group: u32,
