feat(member): instances announce their build and the latest format that they know

Cause: during an upgrade nothing showed which build an instance runs, and members can't agree on a format without knowing what the others read. Change: heartbeats end with the version of the package and the format of data folders, as the reply to them ends with versions; builds before don't read it, and for them the build is unknown and the format the first. `member list` shows both, control instances log them.

--- a/crates/ctl/src/members.rs
+++ b/crates/ctl/src/members.rs
@@ -21,13 +21,15 @@
 ];
 
 /// Columns of `member list`.
-pub(crate) const MEMBERS: [Column; 6] = [
+pub(crate) const MEMBERS: [Column; 8] = [
     ("INSTANCE", "name"),
     ("ROLE", "role"),
     ("FAILURE DOMAIN", "failure_domain"),
     ("READY", "is_ready"),
     ("LEADS", "leads"),
     ("HEARD (MS)", "age_ms"),
+    ("BUILD", "build"),
+    ("FORMAT", "format"),
 ];
 
 /// Columns of `request show`.
--- a/crates/ctl/tests/main.rs
+++ b/crates/ctl/tests/main.rs
@@ -128,7 +128,8 @@
             "name": "control-1", "role": "Control", "configuration": 41, "revision": 9,
             "replica": { "leads": true, "votes": true, "term": 3, "commit": 77 },
             "instances": [{ "name": "entry-5", "role": "Entry", "failure_domain": "b",
-                            "is_ready": true, "leads": false, "age_ms": 120 }],
+                            "is_ready": true, "leads": false, "age_ms": 120,
+                            "build": "0.2.0", "format": 3 }],
         }),
         serde_json::json!([]),
     )
@@ -141,7 +142,7 @@
     let all = format!("127.0.0.1:1,{entry},{control}");
     let cases: [(&str, &[&str], i32, &[&str]); 6] = [
         (&all, &["member", "status"], 0, &["control-1", "41", "77", "entry-5"]),
-        (&all, &["member", "list"], 0, &["entry-5", "120", "yes"]),
+        (&all, &["member", "list"], 0, &["entry-5", "120", "yes", "0.2.0", "FORMAT"]),
         (&entry, &["member", "list"], 2, &["no control instance"]),
         (&all, &["request", "show", "r7"], 0, &["turns", "503", "Overloaded"]),
         (&all, &["request", "show", "r8"], 2, &["r8", "logs"]),
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 use state::collections::{Map, Set};
 use state::registry::Registry;
+use std::fmt;
 
 /// Function of an instance in the deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -23,6 +24,30 @@
     Programs,
 }
 
+/// Build of the software that an instance runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Build {
+    /// Major, minor and patch version of the package; all 0 if the build does not announce it.
+    pub version: (u8, u8, u8),
+    /// Latest format of data folders that the build knows.
+    pub format: u32,
+}
+
+impl Default for Build {
+    fn default() -> Self {
+        Self { version: (0, 0, 0), format: 1 }
+    }
+}
+
+impl fmt::Display for Build {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.version {
+            (0, 0, 0) => formatter.write_str("unknown"),
+            (major, minor, patch) => write!(formatter, "{major}.{minor}.{patch}"),
+        }
+    }
+}
+
 /// Periodic announcement of an instance to a control instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -58,6 +83,9 @@
     pub in_flight: Vec<(String, u32)>,
     /// What the sender lately observed of backend servers' rate limits.
     pub rate_limits: Vec<RateLimit>,
+    /// Build of the sender. Earlier builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub build: Build,
 }
 
 /// Rate limit of a backend server as an instance observed it.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -142,12 +142,16 @@
         roster_digest: 78,
         in_flight: vec![("s1".into(), 12)],
         rate_limits: vec![rate_limit()],
+        build: presence::Build::default(),
     };
+    let build = presence::Build { version: (0, 2, 0), format: 1 };
+    let announced = Request::Heartbeat(Box::new(Heartbeat { build, ..heartbeat.clone() }));
+    check("request-heartbeat-build", &announced);
+    check_without_tail("request-heartbeat", &Request::Heartbeat(Box::new(heartbeat)));
     let requests = [
         ("submit", Request::Submit { group: 1, command: command.clone() }),
         ("query", Request::Query { group: 1, query: query.clone() }),
         ("submit-then-query", Request::SubmitThenQuery { group: 1, command, query }),
-        ("heartbeat", Request::Heartbeat(Box::new(heartbeat))),
         ("probe", Request::Probe),
         ("dump", Request::Dump { section: Some("journals".into()) }),
         ("join", Request::Join { group: 1, instance: "store-1".into(), id: 5 }),
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -6,6 +6,7 @@
 
 use crate::member::node::Member;
 use crate::member::replica::{CONTROL, PROGRAMS};
+use crate::storage::BUILD;
 use coordination::routing;
 use protocol::presence::{Heartbeat, Replica, Reply, Role};
 use protocol::wire::{Request, Response};
@@ -114,6 +115,7 @@
         roster_digest: member.view.borrow().roster.digest,
         in_flight: usage.in_flight,
         rate_limits: usage.rate_limits,
+        build: BUILD,
     }
 }
 
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -363,8 +363,9 @@
         let Ok(mut presence) = self.presence.lock() else {
             return Response::Unknown;
         };
+        let build = heartbeat.build;
         if presence.record(heartbeat) {
-            tracing::info!(name, ?role, "instance became present");
+            tracing::info!(name, ?role, %build, format = build.format, "instance became present");
         }
         let mut programs = presence.addresses(Role::Programs);
         let leader = presence.leader(Role::Programs).map(|(address, _)| address.to_owned());
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -33,13 +33,16 @@
         Self { timeout, instances: Map::default() }
     }
 
-    /// Records a heartbeat; returns `true` if the instance was absent before.
+    /// Records a heartbeat; returns `true` if the instance was absent, or of another build, before.
     pub(crate) fn record(&mut self, heartbeat: Heartbeat) -> bool {
         let digest =
             heartbeat.callers.as_ref().map_or(0, |address| routing::digest(address.as_bytes()));
+        let build = heartbeat.build;
         let instance = Instance { heartbeat, digest, received_at: Instant::now() };
         let old = self.instances.insert(instance.heartbeat.name.clone(), instance);
-        old.is_none_or(|old| old.received_at.elapsed() > self.timeout)
+        old.is_none_or(|old| {
+            old.received_at.elapsed() > self.timeout || old.heartbeat.build != build
+        })
     }
 
     /// Returns the present instances of a role.
@@ -162,6 +165,8 @@
                     "age_ms": instance.received_at.elapsed().as_millis(),
                     "leads": heartbeat.replica.as_ref().is_some_and(|replica| replica.is_leader),
                     "revision": heartbeat.revision,
+                    "build": heartbeat.build.to_string(),
+                    "format": heartbeat.build.format,
                 })
             })
             .collect()
--- a/crates/transport/src/storage.rs
+++ b/crates/transport/src/storage.rs
@@ -6,6 +6,7 @@
 use coordination::consensus::{
     Entry, HardState, Id, Members, Meta, Restored, StartMode, initial_id,
 };
+use protocol::presence::Build;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use state::control::Control;
@@ -20,6 +21,16 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+/// Build of this instance.
+pub(crate) const BUILD: Build = Build {
+    version: (
+        number(env!("CARGO_PKG_VERSION_MAJOR")),
+        number(env!("CARGO_PKG_VERSION_MINOR")),
+        number(env!("CARGO_PKG_VERSION_PATCH")),
+    ),
+    format: FORMAT,
+};
+
 /// Format of the data folders that this build reads and writes: that of the records, snapshots and
 /// commands in the journals. A folder of the first format has no file `format`.
 const FORMAT: u32 = 1;
@@ -131,6 +142,16 @@
     }
 }
 
+/// Parses a decimal number; any other text does not compile.
+const fn number(digits: &str) -> u8 {
+    let (digits, mut index, mut number) = (digits.as_bytes(), 0, 0);
+    while index < digits.len() {
+        number = number * 10 + (digits[index] - b'0');
+        index += 1;
+    }
+    number
+}
+
 /// Checks that this build knows the format of the data folder.
 fn check_format(folder: &Path) -> Result<(), Storage> {
     let text = match std::fs::read(folder.join("format")) {
