feat(gateway): log which content was lost with a backend server that ended

Change: 'request sent' names the digest of the content; 'response lost' names it again, with the server and whether that has ended (it refuses a new connection); the counter lost_responses has the same. Conclusion: a request that comes back can be followed through all entries by its content.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! clock and network.
 
 pub mod consensus;
+pub mod content;
 pub mod entry;
 pub mod lease;
 pub mod limit;
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -4,7 +4,9 @@
 //! progress. Its outcome feeds the choice of backend servers.
 
 use crate::gateway::entry::Entry;
+use crate::gateway::loss::Loss;
 use crate::gateway::pool::Connection;
+use coordination::content::Content;
 use coordination::placement::{Listing, Outcome};
 use std::sync::Arc;
 
@@ -14,6 +16,8 @@
     entry: Arc<Entry>,
     pub(crate) server: Listing,
     pub(crate) connection: Option<Connection>,
+    /// Content of the request, once it is sent; `None` for a request that is forwarded.
+    pub(crate) content: Option<Content>,
     outcome: Outcome,
     /// Whether the request was forwarded to another entry.
     is_forwarded: bool,
@@ -27,6 +31,7 @@
             entry: entry.clone(),
             server,
             connection: None,
+            content: None,
             outcome: Outcome::Cancelled,
             is_forwarded: false,
         }
@@ -47,6 +52,21 @@
         self.outcome = outcome;
     }
 
+    /// Ends the attempt of `request` after the server closed the connection before its response was
+    /// complete.
+    pub(crate) fn lose(mut self, request: &str, is_before_first_event: bool) {
+        self.outcome = Outcome::Failed;
+        if let Some(content) = self.content {
+            self.entry.report_loss(Loss {
+                request: request.to_owned(),
+                content,
+                server: self.server.id.clone(),
+                address: self.server.address.clone(),
+                is_before_first_event,
+            });
+        }
+    }
+
     /// Ends the attempt after a complete response and returns its connection to the pool;
     /// `headers` are those of the response.
     pub(crate) fn complete(mut self, headers: &http::HeaderMap) {
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -15,6 +15,7 @@
 use crate::gateway::sending::Outbound;
 use crate::gateway::turns::{Admission, Turn};
 use bytes::{Bytes, BytesMut};
+use coordination::content::{self, Content};
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -226,12 +227,20 @@
         let begun = self.begin(metadata, &route, start, deadline).await?;
         let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
         let Begun { mut turn, prior, holder, .. } = begun;
-        let content = concatenate(&prior, &body);
+        let sent_body = concatenate(&prior, &body);
+        let content = Content::of(&content::Request {
+            method: head.method.as_str(),
+            host: &metadata.host,
+            path: head.uri.path_and_query().map_or("/", |path| path.as_str()),
+            body: &sent_body,
+            caller: metadata.program.as_deref().or(metadata.session.as_deref()),
+        });
         let outbound = Outbound {
             metadata,
             route: &route,
             service: &service,
             head: &head,
+            body: sent_body,
             content,
             last_server: holder.as_deref(),
             turn: turn.as_ref(),
--- /dev/null
+++ b/crates/transport/src/gateway/loss.rs
@@ -0,0 +1,58 @@
+//! Attempts whose backend server closed the connection before its response was complete.
+//!
+//! The server may have ended, or only the response was lost. A process that ends closes the socket
+//! that it listens on together with its connections, so the entry connects again at once: a
+//! server that has ended refuses.
+
+use crate::clock::millis;
+use crate::gateway::entry::Entry;
+use coordination::content::Content;
+use std::io;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// An attempt that ended without a complete response.
+#[derive(Debug)]
+pub(super) struct Loss {
+    /// Id of the request.
+    pub(super) request: String,
+    pub(super) content: Content,
+    /// Id of the backend server.
+    pub(super) server: String,
+    /// Address of the backend server.
+    pub(super) address: String,
+    /// Whether the request is for a stream of which no event was received.
+    pub(super) is_before_first_event: bool,
+}
+
+impl Entry {
+    /// Finds out whether the backend server has ended.
+    pub(super) fn report_loss(self: &Arc<Self>, loss: Loss) {
+        let entry = self.clone();
+        tokio::spawn(async move { entry.examine_loss(&loss).await });
+    }
+
+    async fn examine_loss(&self, loss: &Loss) {
+        let started = Instant::now();
+        let connected = self.pool.warm_up(&loss.address).await;
+        let error = connected.err();
+        let kind = error.as_ref().map(io::Error::kind);
+        let has_ended = kind == Some(io::ErrorKind::ConnectionRefused);
+        self.metrics.loss(match kind {
+            Some(io::ErrorKind::ConnectionRefused) => "server ended",
+            Some(_) => "server not reached",
+            None => "server runs",
+        });
+        tracing::info!(
+            request = loss.request,
+            content = %loss.content,
+            server = loss.server,
+            address = loss.address,
+            is_before_first_event = loss.is_before_first_event,
+            has_ended,
+            error = error.map(tracing::field::display),
+            ms = millis(started.elapsed()),
+            "response lost"
+        );
+    }
+}
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -20,6 +20,7 @@
     attempts: Family<Label, Counter>,
     resumptions: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
+    losses: Family<Label, Counter>,
     pub(crate) partitioned: Gauge,
     pub(crate) first_byte: Histogram,
     pub(crate) duration: Histogram,
@@ -49,6 +50,9 @@
         let forwarded = Family::<Label, Counter>::default();
         let help = "Requests forwarded to other entries, by outcome";
         registry.register("forwarded", help, forwarded.clone());
+        let losses = Family::<Label, Counter>::default();
+        let help = "Responses that were lost, by what became of the server";
+        registry.register("lost_responses", help, losses.clone());
         let partitioned = Gauge::default();
         let help = "1 while no backend server is reached, otherwise 0";
         registry.register("partitioned", help, partitioned.clone());
@@ -79,6 +83,7 @@
             attempts,
             resumptions,
             forwarded,
+            losses,
             partitioned,
             first_byte,
             duration,
@@ -107,6 +112,10 @@
         self.forwarded.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn loss(&self, outcome: &str) {
+        self.losses.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
+    }
+
     pub(crate) fn list_read(&self, outcome: &str) {
         self.list_reads.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod framing;
 mod headers;
 mod list;
+mod loss;
 mod metrics;
 mod origin;
 pub(crate) mod pool;
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -327,8 +327,16 @@
     /// Ends the request early; the connection to the backend server is closed.
     fn abort(&mut self, abort: Abort) -> Abort {
         if let Some(attempt) = self.attempt.take() {
-            let is_server = matches!(abort, Abort::Server | Abort::Excess);
-            attempt.end(if is_server { Outcome::Failed } else { Outcome::Cancelled });
+            match abort {
+                Abort::Server => {
+                    let is_before_first_event = self.events.as_ref().is_some_and(|e| e.count == 0);
+                    attempt.lose(&self.progress.id, is_before_first_event);
+                }
+                Abort::Excess => attempt.end(Outcome::Failed),
+                Abort::Caller | Abort::DeadlineExceeded | Abort::NotRecorded => {
+                    attempt.end(Outcome::Cancelled);
+                }
+            }
         }
         self.turn = None;
         self.record_end(match abort {
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -14,6 +14,7 @@
 use crate::gateway::turns::Turn;
 use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
+use coordination::content::Content;
 use coordination::placement::{Listing, Outcome, Query};
 use coordination::waiting::{Class, Ticket};
 use http::{HeaderMap, Request, Response, header, request};
@@ -67,7 +68,8 @@
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     pub(super) head: &'a request::Parts,
-    pub(super) content: Bytes,
+    pub(super) body: Bytes,
+    pub(super) content: Content,
     /// Id of the backend server that executed the program's previous turn.
     pub(super) last_server: Option<&'a str>,
     /// The turn that the request is, if it is one.
@@ -306,6 +308,7 @@
     ) -> AttemptResult {
         let (id, address) = (attempt.server.id.clone(), attempt.server.address.clone());
         let server_version = attempt.server.software_version.clone();
+        attempt.content = Some(outbound.content);
         let resumption = outbound.metadata.resumption.as_ref();
         let resumes = resumption.map(|resumption| resumption.origin.as_deref().unwrap_or_default());
         loop {
@@ -325,6 +328,7 @@
             let (load, rate_limit) = self.entry.load_and_limit(&id);
             tracing::info!(
                 request = outbound.metadata.id,
+                content = %outbound.content,
                 server = id,
                 address,
                 server_version,
@@ -349,7 +353,7 @@
                     return AttemptResult::Unavailable;
                 }
                 Ok(Err(SendError::NoResponse(detail))) => {
-                    attempt.end(Outcome::Failed);
+                    attempt.lose(&outbound.metadata.id, outbound.route.is_stream);
                     return AttemptResult::NoResponse(detail);
                 }
                 Err(Timeout::Attempt) => {
@@ -496,7 +500,7 @@
     ) -> Option<Request<Full<Bytes>>> {
         let headers = headers::end_to_end(&outbound.head.headers);
         let headers = self.entry.adapter.request_headers(headers, dispatch);
-        outgoing(outbound.head, headers, outbound.content.clone())
+        outgoing(outbound.head, headers, outbound.body.clone())
     }
 }
 
