fix(gateway): content that crashes backend servers is quarantined

Cause: callers saw servers end one after the other, with all other requests on them broken off. Each attempt was judged alone: a request that came back under a new id, through any entry, was sent to the next server (hypothesis 1). Ruled out: one id on more servers than its route allows (2 of 2 at most in the failing tests). Class: state that belongs to what is sent was kept by the id it is sent under. Change: a response that is lost with a server that then refuses connections counts as a crash against the digest of the content (coordination::quarantine). Two crashes before any output, or three others, quarantine it for ten minutes: it is refused at once, as not executed. Instances exchange crashes and quarantines with heartbeats and replies, as a union that needs no order. Both messages grow by a field at their end, 2 bytes if it is empty, which earlier builds neither send nor read.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limit;
 pub mod membership;
 pub mod placement;
+pub mod quarantine;
 pub mod reach;
 pub mod retry;
 pub mod routing;
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod placement;
 mod policy;
+mod quarantine;
 mod reach;
 mod retry;
 mod routing;
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -7,6 +7,7 @@
 use coordination::consensus::Id;
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
+use coordination::quarantine::Report;
 use coordination::versions::Settled;
 use serde::{Deserialize, Deserializer, Serialize};
 use state::collections::{Map, Set};
@@ -86,6 +87,10 @@
     /// Build of the sender. Earlier builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub build: Build,
+    /// What the sender knows of content that crashes backend servers. Earlier builds neither send nor
+    /// read it.
+    #[serde(deserialize_with = "tail")]
+    pub quarantine: Report,
 }
 
 /// Rate limit of a backend server as an instance observed it.
@@ -247,9 +252,13 @@
     /// builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub versions: Vec<Settled>,
+    /// What the control instance knows of content that crashes backend servers, for entries and
+    /// control instances. Earlier builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub quarantine: Report,
 }
 
-/// Decodes the last field of a message, which ends before it if an earlier build has sent it.
+/// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
 fn tail<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -4,8 +4,10 @@
 //! has stored. So each example must encode to, and decode from, the same bytes in all builds.
 
 use coordination::consensus::{Entry, HardState, Members, Message, Meta, Payload, Peer};
+use coordination::content::{self, Content};
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
+use coordination::quarantine;
 use coordination::versions::Settled;
 use protocol::presence::{self, Heartbeat, RateLimit, Relay, Replica, Role, Roster, Update};
 use protocol::wire::{Envelope, Request, Response};
@@ -81,6 +83,20 @@
     RateLimit { server: "s1".into(), per_second: Some(2.5), age_ms: 40 }
 }
 
+fn quarantine() -> quarantine::Report {
+    let request = content::Request {
+        method: "POST",
+        host: "a.example",
+        path: "/t/x",
+        body: b"body",
+        caller: Some("p1"),
+    };
+    let content = Content::of(&request);
+    let crash = quarantine::Crash { content, digest: 300, is_before_output: true, age_ms: 40 };
+    let quarantined = quarantine::Quarantined { content, remaining_ms: 599_000 };
+    quarantine::Report { crashes: vec![crash], quarantined: vec![quarantined] }
+}
+
 #[test]
 fn consensus_message_of_another_build_is_not_understood() {
     let entries = vec![
@@ -143,10 +159,13 @@
         in_flight: vec![("s1".into(), 12)],
         rate_limits: vec![rate_limit()],
         build: presence::Build::default(),
+        quarantine: quarantine::Report::default(),
     };
     let build = presence::Build { version: (0, 2, 0), format: 1 };
-    let announced = Request::Heartbeat(Box::new(Heartbeat { build, ..heartbeat.clone() }));
-    check("request-heartbeat-build", &announced);
+    let announced = Heartbeat { build, ..heartbeat.clone() };
+    let reported = Heartbeat { quarantine: quarantine(), ..announced.clone() };
+    check("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
+    check_without_tail("request-heartbeat-build", &Request::Heartbeat(Box::new(announced)));
     check_without_tail("request-heartbeat", &Request::Heartbeat(Box::new(heartbeat)));
     let requests = [
         ("submit", Request::Submit { group: 1, command: command.clone() }),
@@ -179,6 +198,7 @@
         in_flight: vec![4],
         rate_limits: vec![rate_limit()],
         versions: Vec::new(),
+        quarantine: quarantine::Report::default(),
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -211,7 +231,12 @@
         age_ms: 9_000,
     }];
     let extended = presence::Reply { versions, ..reply.clone() };
-    check("response-heartbeat-versions", &Response::HeartbeatReply(Box::new(extended)));
+    let relayed = presence::Reply { quarantine: quarantine(), ..extended.clone() };
+    check("response-heartbeat-quarantine", &Response::HeartbeatReply(Box::new(relayed)));
+    check_without_tail(
+        "response-heartbeat-versions",
+        &Response::HeartbeatReply(Box::new(extended)),
+    );
     check_without_tail("response-heartbeat", &Response::HeartbeatReply(Box::new(reply)));
     check_without_tail("response-heartbeat-delta", &Response::HeartbeatReply(Box::new(difference)));
 }
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -53,18 +53,16 @@
     }
 
     /// Ends the attempt of `request` after the server closed the connection before its response was
-    /// complete.
-    pub(crate) fn lose(mut self, request: &str, is_before_first_event: bool) {
+    /// complete; `None` for a request that was forwarded.
+    pub(super) fn lose(mut self, request: &str, is_before_first_event: bool) -> Option<Loss> {
         self.outcome = Outcome::Failed;
-        if let Some(content) = self.content {
-            self.entry.report_loss(Loss {
-                request: request.to_owned(),
-                content,
-                server: self.server.id.clone(),
-                address: self.server.address.clone(),
-                is_before_first_event,
-            });
-        }
+        Some(Loss {
+            request: request.to_owned(),
+            content: self.content?,
+            server: self.server.id.clone(),
+            address: self.server.address.clone(),
+            is_before_first_event,
+        })
     }
 
     /// Ends the attempt after a complete response and returns its connection to the pool;
--- a/crates/transport/src/gateway/loss.rs
+++ b/crates/transport/src/gateway/loss.rs
@@ -7,6 +7,8 @@
 use crate::clock::millis;
 use crate::gateway::entry::Entry;
 use coordination::content::Content;
+use coordination::quarantine::Crash;
+use coordination::routing;
 use std::io;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -26,18 +28,43 @@
 }
 
 impl Entry {
-    /// Finds out whether the backend server has ended.
+    /// Examines a loss in the background.
     pub(super) fn report_loss(self: &Arc<Self>, loss: Loss) {
         let entry = self.clone();
         tokio::spawn(async move { entry.examine_loss(&loss).await });
     }
 
-    async fn examine_loss(&self, loss: &Loss) {
+    /// Records that the server ended under the request, and tells the control instances at once.
+    fn record_crash(&self, loss: &Loss) {
+        let crash = Crash {
+            content: loss.content,
+            digest: routing::score(&loss.request, &loss.server),
+            is_before_output: loss.is_before_first_event,
+            age_ms: 0,
+        };
+        let now = self.now();
+        let recorded = self.member.quarantine.lock().map(|mut q| q.observe(now, crash));
+        if recorded.is_ok_and(|is_quarantined| is_quarantined) {
+            tracing::warn!(
+                request = loss.request,
+                content = %loss.content,
+                server = loss.server,
+                "content quarantined, because it crashes backend servers"
+            );
+        }
+        self.member.heartbeat_trigger.notify_one();
+    }
+
+    /// Finds out whether the backend server has ended, and counts that against the content.
+    pub(super) async fn examine_loss(&self, loss: &Loss) {
         let started = Instant::now();
-        let connected = self.pool.warm_up(&loss.address).await;
+        let connected = self.pool.probe(&loss.address).await;
         let error = connected.err();
         let kind = error.as_ref().map(io::Error::kind);
         let has_ended = kind == Some(io::ErrorKind::ConnectionRefused);
+        if has_ended {
+            self.record_crash(loss);
+        }
         self.metrics.loss(match kind {
             Some(io::ErrorKind::ConnectionRefused) => "server ended",
             Some(_) => "server not reached",
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -262,6 +262,15 @@
         Ok(())
     }
 
+    /// Opens a connection to `address` and closes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if no connection can be opened.
+    pub(crate) async fn probe(&self, address: &str) -> io::Result<()> {
+        self.open(address).await.map(drop)
+    }
+
     /// Number of bytes that were ever received on the connections.
     pub(crate) fn received(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -330,7 +330,9 @@
             match abort {
                 Abort::Server => {
                     let is_before_first_event = self.events.as_ref().is_some_and(|e| e.count == 0);
-                    attempt.lose(&self.progress.id, is_before_first_event);
+                    if let Some(loss) = attempt.lose(&self.progress.id, is_before_first_event) {
+                        self.progress.entry.report_loss(loss);
+                    }
                 }
                 Abort::Excess => attempt.end(Outcome::Failed),
                 Abort::Caller | Abort::DeadlineExceeded | Abort::NotRecorded => {
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -9,6 +9,7 @@
 use crate::gateway::dialect::{Dispatch, Metadata, Refusal, Verdict};
 use crate::gateway::flow::{Error, Handler, RETRY_AFTER};
 use crate::gateway::headers;
+use crate::gateway::loss::Loss;
 use crate::gateway::origin::Versions;
 use crate::gateway::pool::{Connection, SendError};
 use crate::gateway::turns::Turn;
@@ -110,9 +111,12 @@
         let mut attempted: Vec<String> = Vec::new();
         let mut skipped = 0;
         loop {
+            self.check_quarantine(&outbound.content)?;
             let Some(attempt) = self.choose_server(outbound, &attempted).await? else {
                 return Ok(None);
             };
+            // Waiting for a server takes time, in which the content may be quarantined.
+            self.check_quarantine(&outbound.content)?;
             attempted.push(attempt.server.id.clone());
             match self.attempt(outbound, attempt, &attempted).await {
                 AttemptResult::Answered(answered) => {
@@ -155,6 +159,22 @@
         }
     }
 
+    /// Refuses content that crashes backend servers.
+    fn check_quarantine(&self, content: &Content) -> Result<(), Error> {
+        let now = self.entry.now();
+        let quarantine = self.entry.member.quarantine.lock();
+        let remaining = quarantine.ok().and_then(|quarantine| quarantine.remaining(now, content));
+        let Some(remaining) = remaining else {
+            return Ok(());
+        };
+        let detail = format!("backend servers ended while they executed content {content}");
+        if self.may_have_executed {
+            return Err(Refusal::new(Kind::Failed, detail).into());
+        }
+        let remaining = Duration::from_millis(remaining);
+        Err(Refusal::retryable(Kind::Quarantined, remaining, detail).into())
+    }
+
     /// Returns a refusal, which is retryable only if no server can have executed the request.
     pub(super) fn refuse(&self, detail: &str) -> Error {
         if self.may_have_executed {
@@ -353,7 +373,10 @@
                     return AttemptResult::Unavailable;
                 }
                 Ok(Err(SendError::NoResponse(detail))) => {
-                    attempt.lose(&outbound.metadata.id, outbound.route.is_stream);
+                    let loss = attempt.lose(&outbound.metadata.id, outbound.route.is_stream);
+                    if let Some(loss) = loss {
+                        self.examine(outbound, loss).await;
+                    }
                     return AttemptResult::NoResponse(detail);
                 }
                 Err(Timeout::Attempt) => {
@@ -370,6 +393,16 @@
         }
     }
 
+    /// Examines a loss. A request that goes to another server waits for that, since its content may
+    /// then be quarantined.
+    async fn examine(&self, outbound: &Outbound<'_>, loss: Loss) {
+        if outbound.route.retry == Retry::Always {
+            self.entry.examine_loss(&loss).await;
+        } else {
+            self.entry.report_loss(loss);
+        }
+    }
+
     /// Returns a connection to a backend server, and whether it is new; `None` if none can be
     /// opened.
     async fn connect(
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -98,6 +98,8 @@
 fn heartbeat(member: &Member) -> Heartbeat {
     let settings = &member.settings;
     let is_leaving = member.is_leaving.load(Ordering::Relaxed);
+    let now = member.clock.now();
+    let quarantine = member.quarantine.lock().map(|q| q.report(now)).unwrap_or_default();
     let usage = member.usage_source.get().map(|usage| usage()).unwrap_or_default();
     Heartbeat {
         name: settings.name.clone(),
@@ -116,6 +118,7 @@
         in_flight: usage.in_flight,
         rate_limits: usage.rate_limits,
         build: BUILD,
+        quarantine,
     }
 }
 
@@ -167,6 +170,7 @@
             view.rate_limits = Arc::new(reply.rate_limits);
         });
     }
+    member.extend_quarantine(from, &reply.quarantine);
     member.view.send_modify(|view| {
         view.last_contact = Some(Instant::now());
         if let Some(roster) = reply.roster {
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -14,6 +14,7 @@
 use crate::rpc::{self, Handler};
 use crate::tcp::Transport;
 use coordination::membership::{self, Candidate};
+use coordination::quarantine::{Quarantine, Report};
 use protocol::presence::{Heartbeat, Reply, Role, Roster, Update};
 use protocol::wire::{Request, Response};
 use state::collections::Map;
@@ -79,6 +80,8 @@
     /// View of the backend servers.
     pub(crate) servers: watch::Sender<servers::View>,
     pub(crate) usage_source: OnceLock<servers::UsageSource>,
+    /// Content that crashes backend servers.
+    pub(crate) quarantine: Mutex<Quarantine>,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
 }
@@ -111,6 +114,7 @@
             heartbeat_trigger: Notify::new(),
             servers: watch::Sender::new(servers::View::default()),
             usage_source: OnceLock::new(),
+            quarantine: Mutex::default(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
             settings,
@@ -360,6 +364,8 @@
             }
             false => (None, None, Vec::new()),
         };
+        self.extend_quarantine(&heartbeat.name, &heartbeat.quarantine);
+        let quarantine = if is_relayed { self.relay_quarantine() } else { Report::default() };
         let Ok(mut presence) = self.presence.lock() else {
             return Response::Unknown;
         };
@@ -391,10 +397,26 @@
             rate_limits: if serves_callers { presence.rate_limits(&name) } else { Vec::new() },
             roster: if serves_callers { presence.roster(roster) } else { None },
             versions,
+            quarantine,
         };
         Response::HeartbeatReply(Box::new(reply))
     }
 
+    /// Adds what another instance knows of content that crashes backend servers.
+    pub(crate) fn extend_quarantine(&self, from: &str, report: &Report) {
+        let now = self.clock.now();
+        let added = self.quarantine.lock().map(|mut quarantine| quarantine.extend(now, report));
+        for content in added.unwrap_or_default() {
+            tracing::warn!(%content, from, "content quarantined, as another instance reports");
+        }
+    }
+
+    /// Returns what this instance knows of content that crashes backend servers.
+    fn relay_quarantine(&self) -> Report {
+        let now = self.clock.now();
+        self.quarantine.lock().map(|quarantine| quarantine.relay(now)).unwrap_or_default()
+    }
+
     async fn respond(&self, from: String, request: Request) -> Response {
         let (groups, id) = (self.groups.get(), self.id.get());
         let request = match rpc::serve_journal(groups, id, &from, request).await {
@@ -434,6 +456,13 @@
             })
         });
         let instances = self.presence.lock().map(|presence| presence.dump()).unwrap_or_default();
+        let quarantined = self.relay_quarantine().quarantined.into_iter().map(|quarantined| {
+            serde_json::json!({
+                "content": quarantined.content.to_string(),
+                "remaining_ms": quarantined.remaining_ms,
+            })
+        });
+        let quarantined: Vec<serde_json::Value> = quarantined.collect();
         serde_json::json!({
             "name": self.settings.name,
             "role": format!("{:?}", self.settings.role),
@@ -446,6 +475,7 @@
             "heard_ms": view.last_contact.map(|at| at.elapsed().as_millis()),
             "replica": replica,
             "instances": instances,
+            "quarantined": quarantined,
         })
     }
 }
