fix(platform): an odd entry makes the list of backend servers unreadable

It happens here: the page was decoded as a whole into JSON values, which fail beyond 128 levels and for numbers like 1e999, so every reader kept its old list for as long as the entry stayed (machines did not end: the depth is bounded). The product's own instance list had the same fault, and errors of its reader were swallowed. Conclusion: one entry affects itself only.

--- a/crates/protocol/src/backend.rs
+++ b/crates/protocol/src/backend.rs
@@ -3,6 +3,7 @@
 //! Model engines accept chat completions and respond with server-sent events. Each event
 //! carries its token offset, so that an interrupted stream is resumed without duplicates.
 
+use crate::entries::Entries;
 use coordination::entry::Load;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -143,7 +144,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceList {
     /// Names of the backend servers that are about to stop.
-    pub leaving: Vec<String>,
+    pub leaving: Entries<String>,
 }
 
 /// Builds the chat messages for a model from a program's history and a new call.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`wire`] and [`presence`]: messages and heartbeats between instances
 //! - [`api`]: request and response bodies for callers and operators
 //! - [`backend`]: request and response bodies for backend servers
+//! - [`entries`]: lists with entries that cannot be decoded
 //! - [`answer`]: the HTTP status and body of each kind of error
 //! - [`routes`]: routes and services as versioned configuration
 //! - [`settings`]: the settings file and its validation
@@ -10,6 +11,7 @@
 pub mod answer;
 pub mod api;
 pub mod backend;
+pub mod entries;
 pub mod presence;
 pub mod routes;
 pub mod settings;
--- a/crates/protocol/tests/main.rs
+++ b/crates/protocol/tests/main.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod backend;
 mod encodings;
+mod entries;
 mod presence;
 mod routes;
 mod settings;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -61,7 +61,8 @@
         let leaving = self.0.leaving.lock().unwrap_or_else(PoisonError::into_inner);
         let published =
             leaving.iter().filter(|(announced_at, _)| *announced_at + self.0.lag <= Instant::now());
-        InstanceList { leaving: published.map(|(_, name)| name.clone()).collect() }
+        let leaving: Vec<String> = published.map(|(_, name)| name.clone()).collect();
+        InstanceList { leaving: leaving.into() }
     }
 
     /// Counts a load; status 429 above the rate limit.
--- a/crates/transport/src/monitor.rs
+++ b/crates/transport/src/monitor.rs
@@ -219,17 +219,33 @@
         };
         let mut interval =
             tokio::time::interval(Duration::from_millis(self.settings.platform.list_ms));
+        // What the last list was read with, so that only changes are logged.
+        let mut last = Ok(Vec::new());
         loop {
             interval.tick().await;
-            let response = self.client.http.get(&url).timeout(LIST_TIMEOUT).send().await;
-            let Ok(response) = response else {
-                continue;
+            let read = match self.read_instance_list(&url).await {
+                Ok(list) => {
+                    self.send(Input::LeavingServers(list.leaving.valid)).await;
+                    Ok(list.leaving.faults)
+                }
+                Err(error) => Err(error.to_string()),
             };
-            if let Ok(list) = bounded::json::<InstanceList>(response, REPORT_BYTES).await {
-                self.send(Input::LeavingServers(list.leaving)).await;
+            match &read {
+                _ if read == last => {}
+                Ok(faults) => {
+                    let (count, first) = (faults.len(), faults.first());
+                    tracing::warn!(count, first, "instance list read; invalid entries left out");
+                }
+                Err(error) => tracing::warn!(error, "cannot read the instance list"),
             }
+            last = read;
         }
     }
+
+    async fn read_instance_list(&self, url: &str) -> Result<InstanceList, bounded::Error> {
+        let response = self.client.http.get(url).timeout(LIST_TIMEOUT).send().await?;
+        bounded::json(response, REPORT_BYTES).await
+    }
 }
 
 /// Result of a lease renewal.
