fix(platform): a refusal that a server writes once more answers the next request

Callers were told 'not run' for a request that a server executed, and unsafe requests were executed by a second server. Ruled out: a refusal that follows the first at once; the connection is then closed before the next request (passed from the start). Named refusals with 503, 429 and 400 were recognised. A connection that carried a refusal without a name is not kept, so no such refusal can be repeated on it. 'not answered' logs whether the response names its request. Conclusion: a refusal is believed only for the request that it can belong to.

--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -116,6 +116,9 @@
     /// Classifies a backend server's response by its head.
     fn verdict(&self, head: &response::Parts, dispatch: &Dispatch<'_>) -> Verdict;
 
+    /// Whether a backend server's response names the request that it belongs to.
+    fn names_request(&self, head: &response::Parts) -> bool;
+
     /// Whether a response with this status says that the request was not executed.
     fn denies_execution(&self, status: StatusCode) -> bool;
 
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -504,14 +504,19 @@
         if verdict == Verdict::Answer {
             return AttemptResult::Answered(Box::new((Response::from_parts(head, body), attempt)));
         }
-        tracing::info!(request = dispatch.id, server = dispatch.server, ?verdict, "not answered");
+        let is_named = self.entry.adapter.names_request(&head);
+        let (request, server) = (dispatch.id, dispatch.server);
+        tracing::info!(request, server, ?verdict, is_named, "not answered");
         if verdict == Verdict::Foreign {
             attempt.end(Outcome::Failed);
             return AttemptResult::NoResponse("the response belongs to another request".to_owned());
         }
         let rest = Limited::new(body, BODY_DRAIN_BYTES).collect();
         let drained = tokio::time::timeout(BODY_DRAIN_TIMEOUT, rest).await;
-        if matches!(drained, Ok(Ok(_)))
+        // A server may write a refusal once more. Without a name, it would be taken for the response
+        // to the next request on the connection.
+        if is_named
+            && matches!(drained, Ok(Ok(_)))
             && let Some(connection) = attempt.connection.take()
         {
             self.entry.pool.put(&attempt.server.address, connection, &head.headers);
