fix(transport): a refusal that a tool writes once more answers the next call

Responses of tools don't name their call, and the HTTP client keeps connections, so a refusal that is written once more was the answer to the next call: callers were told that a call had not run that the tool executed. Change: calls of tools and completions of engines open a connection each; other requests keep theirs. Completions: read, not tested.

--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -28,6 +28,9 @@
 #[derive(Clone)]
 pub(crate) struct Client {
     pub(crate) http: reqwest::Client,
+    /// Opens a connection for each call. Responses don't name their call, so on a kept connection a
+    /// refusal that a server writes once more would be taken for the answer to the next call.
+    pub(crate) calls: reqwest::Client,
     pub(crate) clock: Clock,
 }
 
@@ -74,7 +77,7 @@
             stream: true,
         };
         let url = format!("http://{}{}", dispatch.address, backend::COMPLETIONS);
-        let request = self.http.post(url).json(&completion);
+        let request = self.calls.post(url).json(&completion);
         if self.clock.now() >= dispatch.send_before {
             return Event::Failed(Failure::NotSent);
         }
@@ -119,7 +122,7 @@
     async fn execute(&self, dispatch: &Dispatch) -> Event {
         let url = format!("http://{}{}", dispatch.address, backend::EXECUTE);
         let request = self
-            .http
+            .calls
             .post(url)
             .header(backend::IDEMPOTENCY_KEY, dispatch.attempt.call.to_string())
             .header("content-type", "application/json")
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -86,8 +86,9 @@
         let peer_service = Service::new(&settings.name);
         transport.set_handler(peer_service.clone());
         let (_, peer_server) = transport.serve(&settings.listen.peers).await.map_err(Error::new)?;
-        let http = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).build();
-        let client = Client { http: http.map_err(Error::new)?, clock };
+        let http = || reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT);
+        let calls = http().pool_max_idle_per_host(0).build().map_err(Error::new)?;
+        let client = Client { http: http().build().map_err(Error::new)?, calls, clock };
         let journal = Arc::new(Journal::new(
             transport.clone(),
             &settings.replicas(),
--- a/crates/transport/tests/main.rs
+++ b/crates/transport/tests/main.rs
@@ -6,5 +6,6 @@
 mod bad_input;
 mod endless;
 mod operators;
+mod repeated_refusals;
 mod secrets;
 mod util;
