fix(gateway): a server that says that it leaves gets further requests

Change: platform/ decodes the header (one, with the value 1; anything else is logged once a server and ignored), from each response that is the server's own: whole ones, refusals, heads of streams. From then on the entry sends the server nothing new and keeps no connection to it. It holds until the id is gone, has another address, or was draining and is ready again, which is a new run. If all servers of a service leave, requests wait or are refused with a retry time, never sent there. A response that is forwarded between entries names its server, so the entry that passes it on learns it too. Entries don't tell one another: the rule counts from each one's own response, and the list follows. Metric leaving_servers by list and by response; one log line. Conclusion: a server that falsely announces it on every response is lost to an entry until it is listed anew; whole services too.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -135,7 +135,7 @@
         let listed = &server.listed;
         let has_version =
             self.software_version.is_none_or(|version| version == listed.software_version);
-        !listed.is_draining && has_version && !self.attempted.contains(&listed.id)
+        !server.is_leaving() && has_version && !self.attempted.contains(&listed.id)
     }
 }
 
@@ -151,6 +151,10 @@
     pub remote_outstanding: u32,
     /// Rate limit that it announces.
     pub limit: Limit,
+    /// Whether it said in a response that it is about to stop.
+    announced_leaving: bool,
+    /// Whether an invalid announcement of it was reported.
+    has_reported_invalid: bool,
     failures: u32,
     suspended_until: Millis,
 }
@@ -161,6 +165,11 @@
         self.outstanding.saturating_add(self.remote_outstanding)
     }
 
+    /// Whether it is about to stop, as the list shows or it said itself. It is sent nothing new.
+    fn is_leaving(&self) -> bool {
+        self.listed.is_draining || self.announced_leaving
+    }
+
     /// Load, in percent of the slots.
     fn load_percent(&self) -> u32 {
         self.load().saturating_mul(100) / self.listed.slots.max(1)
@@ -168,7 +177,7 @@
 
     /// Whether it may be chosen at `now`.
     pub fn is_available(&self, now: Millis) -> bool {
-        !self.listed.is_draining && self.suspended_until <= now && self.limit.permits(now) > 0
+        !self.is_leaving() && self.suspended_until <= now && self.limit.permits(now) > 0
     }
 }
 
@@ -229,7 +238,8 @@
     /// Replaces the list and returns the changes.
     ///
     /// Servers that are no longer listed are removed. A server that has a new address starts
-    /// with fresh state.
+    /// with fresh state. One that was draining and is ready has started again, so that what its
+    /// last run said of leaving no longer holds.
     pub fn update(&mut self, now: Millis, list: Vec<Listing>) -> Vec<Change> {
         let mut changes = Vec::new();
         let mut servers = Map::default();
@@ -245,13 +255,19 @@
                 });
             }
             let server = match old.filter(|old| old.listed.address == listed.address) {
-                Some(old) => Server { listed, ..old },
+                Some(old) => {
+                    let has_restarted = old.listed.is_draining && !listed.is_draining;
+                    let announced_leaving = old.announced_leaving && !has_restarted;
+                    Server { listed, announced_leaving, ..old }
+                }
                 None => Server {
                     digest: routing::digest(listed.id.as_bytes()),
                     listed,
                     outstanding: 0,
                     remote_outstanding: 0,
                     limit: Limit::default(),
+                    announced_leaving: false,
+                    has_reported_invalid: false,
                     failures: 0,
                     suspended_until: 0,
                 },
@@ -496,6 +512,32 @@
         limits.reduce(limit::Status::plus)
     }
 
+    /// Records that the server `id` said in a response that it is about to stop; returns it unless that
+    /// was known.
+    pub fn announce_leaving(&mut self, id: &str) -> Option<&Listing> {
+        let server = self.servers.get_mut(id)?;
+        let was_known = std::mem::replace(&mut server.announced_leaving, true);
+        (!was_known).then_some(&server.listed)
+    }
+
+    /// Whether an invalid announcement of the server `id` is the first one and should be reported.
+    pub fn report_invalid(&mut self, id: &str) -> bool {
+        let server = self.servers.get_mut(id);
+        server.is_some_and(|server| !std::mem::replace(&mut server.has_reported_invalid, true))
+    }
+
+    /// Whether the server `id` said in a response that it is about to stop.
+    pub fn has_announced_leaving(&self, id: &str) -> bool {
+        self.servers.get(id).is_some_and(|server| server.announced_leaving)
+    }
+
+    /// Numbers of servers that leave: as the list shows, and as they said themselves.
+    pub fn leaving_counts(&self) -> (usize, usize) {
+        let listed = self.servers.values().filter(|server| server.listed.is_draining);
+        let announced = self.servers.values().filter(|server| server.announced_leaving);
+        (listed.count(), announced.count())
+    }
+
     /// Number of listed servers with a rate limit.
     pub fn limited_count(&self, now: Millis) -> usize {
         self.servers.values().filter(|server| server.limit.per_second(now).is_some()).count()
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -285,3 +285,39 @@
         assert_eq!(fleet.room(0, &query), for_new, "{slots} slots");
     }
 }
+
+#[test]
+fn server_that_announced_that_it_leaves_is_chosen() {
+    let mut fleet = fleet(&[("s1", "a"), ("s2", "a")]);
+    assert!(fleet.announce_leaving("s1").is_some_and(|listed| listed.id == "s1"));
+    assert!(fleet.announce_leaving("s1").is_none(), "known");
+    assert!(fleet.announce_leaving("absent").is_none());
+    for session in 0..20 {
+        let chosen = choose(&fleet, 0, Some(&format!("p{session}")));
+        assert_eq!(chosen.as_deref(), Some("s2"));
+    }
+    assert_eq!(choose_with_last(&fleet, "s1"), "s2");
+    // The list goes on to show it as ready.
+    fleet.update(1_000, vec![listed("s1", "a"), listed("s2", "a")]);
+    assert_eq!(choose_with_last(&fleet, "s1"), "s2");
+    fleet.announce_leaving("s2");
+    assert_eq!(choose(&fleet, 1_000, None), None);
+    assert_eq!(fleet.leaving_counts(), (0, 2));
+}
+
+#[test]
+fn next_run_of_a_server_that_left_is_not_chosen() {
+    let draining = || vec![Listing { is_draining: true, ..listed("s1", "a") }];
+    let moved = || vec![Listing { address: "s1:81".into(), ..listed("s1", "a") }];
+    for lists in [vec![draining()], vec![Vec::new()], vec![moved()]] {
+        let mut fleet = fleet(&[("s1", "a")]);
+        fleet.announce_leaving("s1");
+        for list in lists {
+            fleet.update(1_000, list);
+        }
+        if fleet.get("s1").is_none_or(|server| server.listed.address == "s1:80") {
+            fleet.update(2_000, vec![listed("s1", "a")]);
+        }
+        assert_eq!(choose(&fleet, 2_000, None).as_deref(), Some("s1"));
+    }
+}
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -74,7 +74,8 @@
         {
             retries.deposit();
         }
-        if let Some(connection) = self.connection.take() {
+        let is_leaving = self.entry.has_announced_leaving(&self.server.id);
+        if let Some(connection) = self.connection.take_if(|_| !is_leaving) {
             let pool = if self.is_forwarded { &self.entry.relays } else { &self.entry.pool };
             pool.put(&self.server.address, connection, headers);
         }
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -130,6 +130,13 @@
     /// Returns what was found instead of a rate.
     fn rate_limit(&self, head: &response::Parts) -> Result<Option<f64>, String>;
 
+    /// Whether a backend server announces with a response that it is about to stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was found instead of an announcement.
+    fn announces_leaving(&self, head: &response::Parts) -> Result<bool, String>;
+
     /// Renders a refusal as a response. `id` is the request id if it could be read.
     fn refusal_response(&self, id: Option<&str>, refusal: &Refusal) -> Response<Full<Bytes>>;
 
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -296,6 +296,54 @@
         }
     }
 
+    /// Applies the announcement of a backend server that it is about to stop.
+    pub(crate) fn observe_leaving(&self, request: &str, server: &str, head: &response::Parts) {
+        let announced = self.adapter.announces_leaving(head);
+        if announced == Ok(false) {
+            return;
+        }
+        let Ok(mut fleet) = self.fleet.lock() else {
+            return;
+        };
+        let list_age_ms = fleet.list_age(self.now());
+        match announced {
+            Err(found) => {
+                if fleet.report_invalid(server) {
+                    tracing::warn!(
+                        request,
+                        server,
+                        found,
+                        "announcement of a leaving server ignored"
+                    );
+                }
+            }
+            Ok(_) => {
+                if let Some(listed) = fleet.announce_leaving(server) {
+                    let is_draining = listed.is_draining;
+                    tracing::info!(
+                        request,
+                        server,
+                        is_draining,
+                        list_age_ms,
+                        "backend server announced that it leaves"
+                    );
+                }
+            }
+        }
+        self.count_leaving(&fleet);
+    }
+
+    fn count_leaving(&self, fleet: &Fleet) {
+        let (listed, announced) = fleet.leaving_counts();
+        self.metrics.leaving("list", listed);
+        self.metrics.leaving("response", announced);
+    }
+
+    /// Whether a backend server announced that it is about to stop.
+    pub(crate) fn has_announced_leaving(&self, server: &str) -> bool {
+        self.fleet.lock().is_ok_and(|fleet| fleet.has_announced_leaving(server))
+    }
+
     /// Returns the configuration in force on this instance.
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
         self.table.read().ok()?.clone()
@@ -398,6 +446,7 @@
                 for change in fleet.update(read_at, snapshot.servers.as_ref().clone()) {
                     tracing::info!(%change, age, "backend server list changed");
                 }
+                self.count_leaving(&fleet);
             }
         }
         self.member.set_ready(self.is_ready());
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -9,6 +9,7 @@
 use crate::gateway::dialect::{Metadata, Refusal};
 use crate::gateway::entry::Entry;
 use crate::gateway::events::Parser;
+use crate::gateway::forward;
 use crate::gateway::headers;
 use crate::gateway::origin::Versions;
 use crate::gateway::relay::{Abort, Body, Draft, Params, Progress, Relay};
@@ -356,6 +357,9 @@
         head.headers = headers::end_to_end(&original);
         let is_event_stream =
             is_stream && head.status.is_success() && headers::may_be_event_stream(&original);
+        if self.source == Source::Entries {
+            forward::name_server(&mut head.headers, &attempt.server.id);
+        }
         if draft.is_some() || is_event_stream {
             // The body may end only after the turn is recorded and the last event is complete.
             // With a content length, the caller would take the last byte for the end.
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -12,7 +12,7 @@
 use crate::gateway::sending::{self, MIN_DISPATCH_TIME};
 use bytes::Bytes;
 use coordination::placement::Outcome;
-use http::{Response, request};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, request};
 use hyper::body::Incoming;
 use protocol::routes::{Retry, Route};
 use rand::seq::IndexedRandom;
@@ -22,6 +22,17 @@
 /// Maximum number of entries to which a request is forwarded, one after the other.
 const MAX_RELAYS: usize = 3;
 
+/// Header with the id of the backend server, in a response from one entry to another.
+const SERVER: HeaderName = HeaderName::from_static("buckthornshelf-server");
+
+/// Names the backend server in a response to another entry.
+pub(super) fn name_server(headers: &mut HeaderMap, id: &str) {
+    match HeaderValue::from_str(id) {
+        Ok(id) => drop(headers.insert(SERVER, id)),
+        Err(error) => tracing::warn!(server = id, %error, "invalid server id"),
+    }
+}
+
 /// Result of forwarding a request to one entry.
 enum Forwarded {
     /// It responded.
@@ -63,6 +74,7 @@
             match self.forward_to(relay, metadata, head, body, deadline).await? {
                 Forwarded::Answered(answered) => {
                     let (response, attempt) = *answered;
+                    let response = self.observe_server(&metadata.id, response);
                     let status = response.status();
                     if self.may_have_executed && self.entry.adapter.denies_execution(status) {
                         let detail = format!("the entry that it was forwarded to answers {status}");
@@ -83,6 +95,17 @@
         Ok(None)
     }
 
+    /// Applies what the backend server of a forwarded request announces: this entry passes that on,
+    /// and may reach the server itself later.
+    fn observe_server(&self, request: &str, response: Response<Incoming>) -> Response<Incoming> {
+        let (mut head, body) = response.into_parts();
+        let server = head.headers.remove(SERVER);
+        if let Some(server) = server.as_ref().and_then(|server| server.to_str().ok()) {
+            self.entry.observe_leaving(request, server, &head);
+        }
+        Response::from_parts(head, body)
+    }
+
     /// Forwards the request to the entry that accepts such requests at `relay`.
     async fn forward_to(
         &self,
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -29,6 +29,7 @@
     pub(crate) connections: Counter,
     pub(crate) list_reads: Family<Label, Counter>,
     pub(crate) limited_servers: Gauge,
+    leaving_servers: Family<Label, Gauge>,
     pub(crate) waiting: Gauge,
 }
 
@@ -75,6 +76,9 @@
         let limited_servers = Gauge::default();
         let help = "Backend servers that announce a rate limit";
         registry.register("limited_servers", help, limited_servers.clone());
+        let leaving_servers = Family::<Label, Gauge>::default();
+        let help = "Backend servers that leave, by where that was announced";
+        registry.register("leaving_servers", help, leaving_servers.clone());
         let waiting = Gauge::default();
         registry.register("waiting", "Requests that wait for a backend server", waiting.clone());
         Self {
@@ -92,6 +96,7 @@
             connections,
             list_reads,
             limited_servers,
+            leaving_servers,
             waiting,
         }
     }
@@ -116,6 +121,11 @@
         self.losses.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn leaving(&self, source: &str, count: usize) {
+        let label = Label { outcome: source.to_owned() };
+        self.leaving_servers.get_or_create(&label).set(count as i64);
+    }
+
     pub(crate) fn list_read(&self, outcome: &str) {
         self.list_reads.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -500,6 +500,7 @@
         let verdict = self.entry.adapter.verdict(&head, dispatch);
         if matches!(verdict, Verdict::Answer | Verdict::Full) {
             self.entry.observe_rate_limit(dispatch, &head);
+            self.entry.observe_leaving(dispatch.id, dispatch.server, &head);
         }
         if verdict == Verdict::Answer {
             return AttemptResult::Answered(Box::new((Response::from_parts(head, body), attempt)));
@@ -516,6 +517,7 @@
         // A server may write a refusal once more. Without a name, it would be taken for the response
         // to the next request on the connection.
         if is_named
+            && !self.entry.has_announced_leaving(dispatch.server)
             && matches!(drained, Ok(Ok(_)))
             && let Some(connection) = attempt.connection.take()
         {
