--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -17,7 +17,7 @@
 use crate::Millis;
 use crate::content::Content;
 use serde::{Deserialize, Serialize};
-use state::collections::Map;
+use state::collections::{Map, Set};
 use std::collections::VecDeque;
 
 /// Weight from which content is quarantined: two crashes before any output, or three others.
@@ -95,6 +95,8 @@
 pub struct Quarantine {
     /// In the order in which this instance learned of them.
     crashes: VecDeque<Known>,
+    /// Digests of the crashes.
+    digests: Set<u64>,
     /// End of the quarantine, by content.
     until: Map<Content, Millis>,
 }
@@ -103,19 +105,20 @@
     /// Records a crash that this instance observed; returns whether its content is quarantined by
     /// that.
     pub fn observe(&mut self, now: Millis, crash: Crash) -> bool {
+        self.remove_expired(now);
         self.record(now, crash, true)
     }
 
     /// Records a crash unless it is known; returns whether its content is quarantined by that.
     fn record(&mut self, now: Millis, crash: Crash, is_own: bool) -> bool {
-        self.remove_expired(now);
         let content = crash.content;
-        let is_known = self.crashes.iter().any(|known| known.crash.digest == crash.digest);
-        if is_known || crash.age_ms > CRASH_RETENTION_MS {
+        if crash.age_ms > CRASH_RETENTION_MS || !self.digests.insert(crash.digest) {
             return false;
         }
-        if self.crashes.len() == MAX_CRASHES {
-            self.crashes.pop_front();
+        if self.crashes.len() == MAX_CRASHES
+            && let Some(oldest) = self.crashes.pop_front()
+        {
+            self.digests.remove(&oldest.crash.digest);
         }
         self.crashes.push_back(Known { at: now.saturating_sub(crash.age_ms), crash, is_own });
         if self.until.contains_key(&content) || self.weight(&content) < MIN_WEIGHT {
@@ -128,6 +131,10 @@
     /// Adds what another instance reports; returns the content that is quarantined by that.
     pub fn extend(&mut self, now: Millis, report: &Report) -> Vec<Content> {
         let mut added: Vec<Content> = Vec::new();
+        if *report == Report::default() {
+            return added;
+        }
+        self.remove_expired(now);
         for crash in &report.crashes {
             if self.record(now, crash.clone(), false) {
                 added.push(crash.content);
@@ -189,7 +196,14 @@
     }
 
     fn remove_expired(&mut self, now: Millis) {
-        self.crashes.retain(|known| now < known.at + CRASH_RETENTION_MS);
+        let digests = &mut self.digests;
+        self.crashes.retain(|known| {
+            let is_kept = now < known.at + CRASH_RETENTION_MS;
+            if !is_kept {
+                digests.remove(&known.crash.digest);
+            }
+            is_kept
+        });
         self.until.retain(|_, until| now < *until);
     }
 }
