perf(gateway): contents are identified only after a loss or while some are quarantined

Change: an attempt keeps the request, whose digest is computed when a response is lost, or before it is sent while something is quarantined. 'request sent' no longer shows it.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -131,6 +131,7 @@
     /// Adds what another instance reports; returns the content that is quarantined by that.
     pub fn extend(&mut self, now: Millis, report: &Report) -> Vec<Content> {
         let mut added: Vec<Content> = Vec::new();
+        self.until.retain(|_, until| now < *until);
         if *report == Report::default() {
             return added;
         }
@@ -149,6 +150,11 @@
         added
     }
 
+    /// Whether nothing is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.until.is_empty()
+    }
+
     /// Time until the end of a content's quarantine; `None` if it isn't quarantined.
     pub fn remaining(&self, now: Millis, content: &Content) -> Option<Millis> {
         self.until.get(content)?.checked_sub(now).filter(|remaining| *remaining > 0)
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -4,9 +4,8 @@
 //! progress. Its outcome feeds the choice of backend servers.
 
 use crate::gateway::entry::Entry;
-use crate::gateway::loss::Loss;
+use crate::gateway::loss::{Loss, Subject};
 use crate::gateway::pool::Connection;
-use coordination::content::Content;
 use coordination::placement::{Listing, Outcome};
 use std::sync::Arc;
 
@@ -16,8 +15,8 @@
     entry: Arc<Entry>,
     pub(crate) server: Listing,
     pub(crate) connection: Option<Connection>,
-    /// Content of the request, once it is sent; `None` for a request that is forwarded.
-    pub(crate) content: Option<Content>,
+    /// The request, once it is sent; `None` for one that is forwarded.
+    pub(super) subject: Option<Arc<Subject>>,
     outcome: Outcome,
     /// Whether the request was forwarded to another entry.
     is_forwarded: bool,
@@ -31,7 +30,7 @@
             entry: entry.clone(),
             server,
             connection: None,
-            content: None,
+            subject: None,
             outcome: Outcome::Cancelled,
             is_forwarded: false,
         }
@@ -58,7 +57,7 @@
         self.outcome = Outcome::Failed;
         Some(Loss {
             request: request.to_owned(),
-            content: self.content?,
+            content: self.subject.as_ref()?.content(),
             server: self.server.id.clone(),
             address: self.server.address.clone(),
             is_before_first_event,
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -11,12 +11,12 @@
 use crate::gateway::events::Parser;
 use crate::gateway::forward;
 use crate::gateway::headers;
+use crate::gateway::loss::Subject;
 use crate::gateway::origin::Versions;
 use crate::gateway::relay::{Abort, Body, Draft, Params, Progress, Relay};
 use crate::gateway::sending::Outbound;
 use crate::gateway::turns::{Admission, Turn};
 use bytes::{Bytes, BytesMut};
-use coordination::content::{self, Content};
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -228,21 +228,20 @@
         let begun = self.begin(metadata, &route, start, deadline).await?;
         let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
         let Begun { mut turn, prior, holder, .. } = begun;
-        let sent_body = concatenate(&prior, &body);
-        let content = Content::of(&content::Request {
-            method: head.method.as_str(),
-            host: &metadata.host,
-            path: head.uri.path_and_query().map_or("/", |path| path.as_str()),
-            body: &sent_body,
-            caller: metadata.program.as_deref().or(metadata.session.as_deref()),
+        let caller = metadata.program.as_ref().or(metadata.session.as_ref());
+        let subject = Arc::new(Subject {
+            method: head.method.clone(),
+            host: metadata.host.clone(),
+            path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+            body: concatenate(&prior, &body),
+            caller: caller.cloned(),
         });
         let outbound = Outbound {
             metadata,
             route: &route,
             service: &service,
             head: &head,
-            body: sent_body,
-            content,
+            subject,
             last_server: holder.as_deref(),
             turn: turn.as_ref(),
             deadline,
--- a/crates/transport/src/gateway/loss.rs
+++ b/crates/transport/src/gateway/loss.rs
@@ -6,13 +6,40 @@
 
 use crate::clock::millis;
 use crate::gateway::entry::Entry;
-use coordination::content::Content;
+use bytes::Bytes;
+use coordination::content::{self, Content};
 use coordination::quarantine::Crash;
 use coordination::routing;
+use http::Method;
 use std::io;
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// A request as it is sent to backend servers. Its content is identified only if that is needed,
+/// since a digest of each body would cost processor time.
+#[derive(Debug)]
+pub(super) struct Subject {
+    pub(super) method: Method,
+    pub(super) host: String,
+    /// Path and query.
+    pub(super) path: String,
+    pub(super) body: Bytes,
+    /// Program or session of the request.
+    pub(super) caller: Option<String>,
+}
+
+impl Subject {
+    pub(super) fn content(&self) -> Content {
+        Content::of(&content::Request {
+            method: self.method.as_str(),
+            host: &self.host,
+            path: &self.path,
+            body: &self.body,
+            caller: self.caller.as_deref(),
+        })
+    }
+}
+
 /// An attempt that ended without a complete response.
 #[derive(Debug)]
 pub(super) struct Loss {
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -9,13 +9,12 @@
 use crate::gateway::dialect::{Dispatch, Metadata, Refusal, Verdict};
 use crate::gateway::flow::{Error, Handler, RETRY_AFTER};
 use crate::gateway::headers;
-use crate::gateway::loss::Loss;
+use crate::gateway::loss::{Loss, Subject};
 use crate::gateway::origin::Versions;
 use crate::gateway::pool::{Connection, SendError};
 use crate::gateway::turns::Turn;
 use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
-use coordination::content::Content;
 use coordination::placement::{Listing, Outcome, Query};
 use coordination::waiting::{Class, Ticket};
 use http::{HeaderMap, Request, Response, header, request};
@@ -24,6 +23,7 @@
 use protocol::routes::{Retry, Route};
 use rand::RngExt;
 use state::error::Kind;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -69,8 +69,7 @@
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     pub(super) head: &'a request::Parts,
-    pub(super) body: Bytes,
-    pub(super) content: Content,
+    pub(super) subject: Arc<Subject>,
     /// Id of the backend server that executed the program's previous turn.
     pub(super) last_server: Option<&'a str>,
     /// The turn that the request is, if it is one.
@@ -111,12 +110,12 @@
         let mut attempted: Vec<String> = Vec::new();
         let mut skipped = 0;
         loop {
-            self.check_quarantine(&outbound.content)?;
+            self.check_quarantine(outbound)?;
             let Some(attempt) = self.choose_server(outbound, &attempted).await? else {
                 return Ok(None);
             };
             // Waiting for a server takes time, in which the content may be quarantined.
-            self.check_quarantine(&outbound.content)?;
+            self.check_quarantine(outbound)?;
             attempted.push(attempt.server.id.clone());
             match self.attempt(outbound, attempt, &attempted).await {
                 AttemptResult::Answered(answered) => {
@@ -160,10 +159,13 @@
     }
 
     /// Refuses content that crashes backend servers.
-    fn check_quarantine(&self, content: &Content) -> Result<(), Error> {
-        let now = self.entry.now();
-        let quarantine = self.entry.member.quarantine.lock();
-        let remaining = quarantine.ok().and_then(|quarantine| quarantine.remaining(now, content));
+    fn check_quarantine(&self, outbound: &Outbound<'_>) -> Result<(), Error> {
+        let quarantine = &self.entry.member.quarantine;
+        if quarantine.lock().is_ok_and(|quarantine| quarantine.is_empty()) {
+            return Ok(());
+        }
+        let (now, content) = (self.entry.now(), outbound.subject.content());
+        let remaining = quarantine.lock().ok().and_then(|q| q.remaining(now, &content));
         let Some(remaining) = remaining else {
             return Ok(());
         };
@@ -328,7 +330,7 @@
     ) -> AttemptResult {
         let (id, address) = (attempt.server.id.clone(), attempt.server.address.clone());
         let server_version = attempt.server.software_version.clone();
-        attempt.content = Some(outbound.content);
+        attempt.subject = Some(outbound.subject.clone());
         let resumption = outbound.metadata.resumption.as_ref();
         let resumes = resumption.map(|resumption| resumption.origin.as_deref().unwrap_or_default());
         loop {
@@ -348,7 +350,6 @@
             let (load, rate_limit) = self.entry.load_and_limit(&id);
             tracing::info!(
                 request = outbound.metadata.id,
-                content = %outbound.content,
                 server = id,
                 address,
                 server_version,
@@ -540,7 +541,7 @@
     ) -> Option<Request<Full<Bytes>>> {
         let headers = headers::end_to_end(&outbound.head.headers);
         let headers = self.entry.adapter.request_headers(headers, dispatch);
-        outgoing(outbound.head, headers, outbound.body.clone())
+        outgoing(outbound.head, headers, outbound.subject.body.clone())
     }
 }
 
