fix(placement): an entry with the id of a server takes its place

A relayed difference of such a list does not apply, since differences are by id. Change: entries that have the id of another one are left out where the list is read and where it is applied: the one with the known service and address stays, otherwise the first. Each change is logged. Conclusion: fixed where one of the two was known; without an earlier list the first one counts.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -95,6 +95,33 @@
     pub software_version: String,
 }
 
+/// Splits off the entries of `list` that have the id of another one. The entry with the service and
+/// address that `known` has under the id stays, otherwise the first one.
+pub fn split_duplicates<'a>(
+    list: Vec<Listing>,
+    known: impl Fn(&str) -> Option<&'a Listing>,
+) -> (Vec<Listing>, Vec<Listing>) {
+    let mut positions: Map<String, usize> = Map::default();
+    let (mut unique, mut duplicates): (Vec<Listing>, Vec<Listing>) = (Vec::new(), Vec::new());
+    for mut listed in list {
+        let Some(position) = positions.get(&listed.id) else {
+            positions.insert(listed.id.clone(), unique.len());
+            unique.push(listed);
+            continue;
+        };
+        let kept = &mut unique[*position];
+        let is_known = |entry: &Listing| {
+            let known = known(&entry.id);
+            known.is_some_and(|k| k.service == entry.service && k.address == entry.address)
+        };
+        if !is_known(kept) && is_known(&listed) {
+            std::mem::swap(kept, &mut listed);
+        }
+        duplicates.push(listed);
+    }
+    (unique, duplicates)
+}
+
 /// How an attempt on a backend server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -190,6 +217,8 @@
     Draining(Listing),
     /// The server with this identifier is no longer listed.
     Gone(String),
+    /// The entry has the identifier of another server and is ignored.
+    Duplicate(Listing),
 }
 
 impl std::fmt::Display for Change {
@@ -202,6 +231,9 @@
                 write!(f, "{id} of {service} is draining")
             }
             Self::Gone(id) => write!(f, "{id} is gone"),
+            Self::Duplicate(Listing { id, service, address, .. }) => {
+                write!(f, "{id} is listed twice; the entry of {service} at {address} is ignored")
+            }
         }
     }
 }
@@ -241,7 +273,9 @@
     /// with fresh state. One that was draining and is ready has started again, so that what its
     /// last run said of leaving no longer holds.
     pub fn update(&mut self, now: Millis, list: Vec<Listing>) -> Vec<Change> {
-        let mut changes = Vec::new();
+        let known = |id: &str| self.servers.get(id).map(|server| &server.listed);
+        let (list, duplicates) = split_duplicates(list, known);
+        let mut changes: Vec<Change> = duplicates.into_iter().map(Change::Duplicate).collect();
         let mut servers = Map::default();
         let mut by_service: Map<String, Vec<String>> = Map::default();
         for listed in list {
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -321,3 +321,26 @@
         assert_eq!(choose(&fleet, 2_000, None).as_deref(), Some("s1"));
     }
 }
+
+/// Another writer may use the id of a server in an entry of its own.
+#[test]
+fn entry_with_the_id_of_a_server_takes_its_place() {
+    let other = |service: &str| Listing {
+        service: service.into(),
+        address: "other:80".into(),
+        ..listed("s1", "a")
+    };
+    for service in ["tools", "model"] {
+        for list in
+            [vec![listed("s1", "a"), other(service)], vec![other(service), listed("s1", "a")]]
+        {
+            let mut fleet = fleet(&[("s1", "a")]);
+            fleet.update(1_000, list);
+            let query = Query { service: "model", ..Query::default() };
+            assert_eq!(fleet.choose(1_000, &query), Some(&listed("s1", "a")), "{service}");
+            assert_eq!(fleet.room(1_000, &query), 5, "{service}: counted once");
+            let query = Query { service: "tools", ..Query::default() };
+            assert_eq!(fleet.choose(1_000, &query), None, "{service}");
+        }
+    }
+}
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -14,6 +14,7 @@
 use crate::rpc::{self, Handler};
 use crate::tcp::Transport;
 use coordination::membership::{self, Candidate};
+use coordination::placement::Listing;
 use coordination::quarantine::{Quarantine, Report};
 use protocol::presence::{Heartbeat, Reply, Role, Roster, Update};
 use protocol::wire::{Request, Response};
@@ -80,6 +81,8 @@
     /// View of the backend servers.
     pub(crate) servers: watch::Sender<servers::View>,
     pub(crate) usage_source: OnceLock<servers::UsageSource>,
+    /// Entries of the last list that had the id of another one.
+    pub(crate) duplicates: Mutex<Vec<Listing>>,
     /// Content that crashes backend servers.
     pub(crate) quarantine: Mutex<Quarantine>,
     groups: OnceLock<Map<u32, Handle>>,
@@ -114,6 +117,7 @@
             heartbeat_trigger: Notify::new(),
             servers: watch::Sender::new(servers::View::default()),
             usage_source: OnceLock::new(),
+            duplicates: Mutex::default(),
             quarantine: Mutex::default(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -9,7 +9,7 @@
 use crate::gateway::List;
 use crate::member::node::Member;
 use coordination::Millis;
-use coordination::placement::Listing;
+use coordination::placement::{self, Listing};
 use coordination::routing;
 use coordination::versions::History;
 use protocol::presence::{RateLimit, Relay, Update};
@@ -210,6 +210,7 @@
                 if had_failed {
                     tracing::info!(count = servers.len(), "backend server list can be read again");
                 }
+                let servers = self.without_duplicates(servers);
                 let (snapshot, now) = (Snapshot::new(servers, read_at), self.clock.now());
                 self.servers.send_modify(|view| view.replace(snapshot, now));
                 true
@@ -223,6 +224,25 @@
         }
     }
 
+    /// Leaves out the entries that have the id of another one, since lists are relayed by id.
+    fn without_duplicates(&self, servers: Vec<Listing>) -> Vec<Listing> {
+        let view = self.servers.borrow();
+        let current = view.list.as_ref().map(|list| list.servers.as_slice()).unwrap_or_default();
+        // A snapshot is sorted by id.
+        let known = |id: &str| {
+            let found = current.binary_search_by(|listed| listed.id.as_str().cmp(id));
+            found.ok().map(|position| &current[position])
+        };
+        let (unique, duplicates) = placement::split_duplicates(servers, known);
+        if let Ok(mut last) = self.duplicates.lock()
+            && *last != duplicates
+        {
+            tracing::warn!(?duplicates, "entries with the id of another server left out");
+            *last = duplicates;
+        }
+        unique
+    }
+
     /// Sets the source of what this instance reports of its use of the backend servers.
     pub(crate) fn set_usage_source(&self, source: UsageSource) {
         // An instance has only one gateway, which sets the source once.
