feat(member): log and count the registries that are sent, and heartbeats without a reply

Change: control instances log each registry that they put into a reply, with its receiver, revisions and size; counters for its bytes on both sides and for heartbeats without a reply in time, on the metrics address of every instance.

--- a/crates/state/src/registry/machine.rs
+++ b/crates/state/src/registry/machine.rs
@@ -86,6 +86,11 @@
         self.document.as_ref().map_or(0, |document| document.version)
     }
 
+    /// Approximate size when encoded, in bytes: that of the configuration.
+    pub fn size(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.content.len() as u64)
+    }
+
     /// Applies one command.
     pub fn execute(&mut self, command: Command) -> Reply {
         match command {
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of an entry: counters of requests and attempts by outcome, and latencies.
 
+use crate::member;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -39,8 +40,11 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    /// Creates the metrics of an entry, together with those of its exchange with the control
+    /// instances.
+    pub(crate) fn new(member: &member::Metrics) -> Self {
         let mut registry = Registry::with_prefix("buckthornshelf");
+        member.register(&mut registry);
         let requests = Family::<Label, Counter>::default();
         registry.register("requests", "Requests of callers by outcome", requests.clone());
         let attempts = Family::<Label, Counter>::default();
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -41,8 +41,9 @@
             tokio::spawn(async move {
                 let request = Request::Heartbeat(Box::new(heartbeat));
                 let response = member.transport.call(&address, &request, HEARTBEAT_TIMEOUT).await;
-                if let Ok(Response::HeartbeatReply(reply)) = response {
-                    apply_reply(&member, &address, *reply);
+                match response {
+                    Ok(Response::HeartbeatReply(reply)) => apply_reply(&member, &address, *reply),
+                    _ => drop(member.metrics.heartbeats_unanswered.inc()),
                 }
             });
         }
@@ -144,6 +145,7 @@
 fn apply_reply(member: &Member, from: &str, reply: Reply) {
     let revision = member.view.borrow().registry.revision;
     if let Some(registry) = reply.registry.filter(|registry| registry.revision > revision) {
+        member.metrics.registry_bytes_received.inc_by(registry.size());
         tracing::info!(
             from,
             revision = registry.revision,
--- a/crates/transport/src/member/mod.rs
+++ b/crates/transport/src/member/mod.rs
@@ -6,6 +6,7 @@
 //! (`coordination::membership`).
 
 mod beats;
+mod metrics;
 mod node;
 mod operators;
 mod register;
@@ -13,6 +14,7 @@
 pub(crate) mod servers;
 mod settings;
 
+pub(crate) use metrics::Metrics;
 pub use node::Member;
 pub use operators::{RetireReply, Retirement};
 pub(crate) use replica::PROGRAMS;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -8,7 +8,7 @@
 use crate::leaders::{self, Leaders};
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
-use crate::member::{Settings, beats, servers};
+use crate::member::{Metrics, Settings, beats, servers};
 use crate::node::Error;
 use crate::replica::{Handle, Job};
 use crate::rpc::{self, Handler};
@@ -85,6 +85,7 @@
     pub(crate) duplicates: Mutex<Vec<Listing>>,
     /// Content that crashes backend servers.
     pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) metrics: Metrics,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
 }
@@ -119,6 +120,7 @@
             usage_source: OnceLock::new(),
             duplicates: Mutex::default(),
             quarantine: Mutex::default(),
+            metrics: Metrics::default(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
             settings,
@@ -389,8 +391,20 @@
         };
         let serves_callers = is_relayed && role == Role::Entry;
         let servers = snapshot.filter(|_| serves_callers).map(|snapshot| snapshot.servers);
+        let is_behind = revision < registry.revision;
+        if is_behind {
+            let bytes = registry.size();
+            self.metrics.registry_bytes_sent.inc_by(bytes);
+            tracing::info!(
+                to = name,
+                from_revision = revision,
+                revision = registry.revision,
+                bytes,
+                "registry sent"
+            );
+        }
         let reply = Reply {
-            registry: (revision < registry.revision).then(|| Registry::clone(&registry)),
+            registry: is_behind.then(|| Registry::clone(&registry)),
             control: presence.addresses(Role::Control),
             programs,
             has_leader: leader.is_some(),
@@ -439,7 +453,8 @@
 
     /// Returns the counters of the local replica in the OpenMetrics format.
     pub fn metrics(&self) -> String {
-        let metrics = crate::metrics::Metrics::new();
+        let mut metrics = crate::metrics::Metrics::new();
+        metrics.register(|registry| self.metrics.register(registry));
         for (group, handle) in self.groups.get().into_iter().flatten() {
             metrics.update_journal(*group, &handle.status.borrow());
         }
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -57,6 +57,11 @@
         metrics
     }
 
+    /// Lets other parts of the instance add their metrics.
+    pub(crate) fn register(&mut self, add: impl FnOnce(&mut Registry)) {
+        add(&mut self.registry);
+    }
+
     fn register_calls(&mut self) {
         let registry = &mut self.registry;
         registry.register("answers", "Calls answered", self.answers.clone());
