--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`entries`]: lists with entries that cannot be decoded
 //! - [`answer`]: the HTTP status and body of each kind of error
 //! - [`routes`]: routes and services as versioned configuration
+//! - [`transfer`]: the registry in compressed parts
 //! - [`settings`]: the settings file and its validation
 
 pub mod answer;
@@ -15,4 +16,5 @@
 pub mod presence;
 pub mod routes;
 pub mod settings;
+pub mod transfer;
 pub mod wire;
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -14,6 +14,9 @@
 use state::registry::Registry;
 use std::fmt;
 
+/// Revision that a heartbeat names so that earlier builds send no registry in their reply.
+pub const NOT_WANTED: u64 = u64::MAX;
+
 /// Function of an instance in the deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Role {
@@ -71,7 +74,8 @@
     pub is_partitioned: bool,
     /// Status of the sender's replica; `None` if it has none.
     pub replica: Option<Replica>,
-    /// Revision of the sender's registry; 0 if it has none yet.
+    /// Revision of the sender's registry; 0 if it has none yet, and [`NOT_WANTED`] if the reply
+    /// must not contain a newer one.
     pub revision: u64,
     /// Whether the reply should carry the backend server list and the roster. An entry
     /// requests them from one control instance at a time.
@@ -91,6 +95,10 @@
     /// read it.
     #[serde(deserialize_with = "tail")]
     pub quarantine: Report,
+    /// Whether the sender fetches the registry in parts, so that the reply must not contain it.
+    /// Earlier builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub fetches_registry: bool,
 }
 
 /// Rate limit of a backend server as an instance observed it.
@@ -226,7 +234,7 @@
 /// Reply of a control instance to a [`Heartbeat`].
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
-    /// The registry; `None` unless it is newer than the receiver's.
+    /// The registry, if it is newer than the receiver's and the receiver doesn't fetch it in parts.
     pub registry: Option<Registry>,
     /// Addresses of the control instances.
     pub control: Vec<String>,
@@ -256,6 +264,10 @@
     /// control instances. Earlier builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub quarantine: Report,
+    /// Whether the control instance serves its registry in parts. Earlier builds neither send nor
+    /// read it.
+    #[serde(deserialize_with = "tail")]
+    pub serves_parts: bool,
 }
 
 /// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -3,6 +3,7 @@
 //! Each message is one JSON-RPC call that carries a [`Frame`]: a postcard body with a BLAKE3
 //! MAC under the deployment's shared key. Messages of processes without the key are rejected.
 
+use crate::transfer;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use coordination::consensus::{Id, Message, Peer};
@@ -93,6 +94,9 @@
         /// Identity of the replica's data folder.
         id: Id,
     },
+    /// Requests a part of the registry of a control instance. Earlier builds do not know it; sent
+    /// only to control instances whose replies say that they serve it.
+    RegistryPart(transfer::Request),
 }
 
 /// A consensus message with its replica group, sender and receiver.
@@ -154,6 +158,8 @@
         /// Whether the instance's data folder already has an identity.
         has_identity: bool,
     },
+    /// A part of the registry.
+    RegistryPart(transfer::Part),
 }
 
 /// Terms of a granted lease.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -10,10 +10,12 @@
 use coordination::quarantine;
 use coordination::versions::Settled;
 use protocol::presence::{self, Heartbeat, RateLimit, Relay, Replica, Role, Roster, Update};
+use protocol::transfer;
 use protocol::wire::{Envelope, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use state::history::{Memory, Store};
+use state::id::Digest;
 use state::journal;
 use state::machine::{self, StateMachine};
 use state::registry::{self, Document, Registry, Voter};
@@ -160,11 +162,14 @@
         rate_limits: vec![rate_limit()],
         build: presence::Build::default(),
         quarantine: quarantine::Report::default(),
+        fetches_registry: false,
     };
     let build = presence::Build { version: (0, 2, 0), format: 1 };
     let announced = Heartbeat { build, ..heartbeat.clone() };
     let reported = Heartbeat { quarantine: quarantine(), ..announced.clone() };
-    check("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
+    let fetching = Heartbeat { fetches_registry: true, ..reported.clone() };
+    check("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
+    check_without_tail("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
     check_without_tail("request-heartbeat-build", &Request::Heartbeat(Box::new(announced)));
     check_without_tail("request-heartbeat", &Request::Heartbeat(Box::new(heartbeat)));
     let requests = [
@@ -174,6 +179,7 @@
         ("probe", Request::Probe),
         ("dump", Request::Dump { section: Some("journals".into()) }),
         ("join", Request::Join { group: 1, instance: "store-1".into(), id: 5 }),
+        ("part", Request::RegistryPart(transfer::Request { revision: 3, offset: 300 })),
     ];
     for (name, request) in requests {
         check(&format!("request-{name}"), &request);
@@ -199,6 +205,7 @@
         rate_limits: vec![rate_limit()],
         versions: Vec::new(),
         quarantine: quarantine::Report::default(),
+        serves_parts: false,
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -213,6 +220,13 @@
     let relay = Relay { digest: 77, age_ms: 300, servers: Some(delta) };
     let difference = presence::Reply { list: Some(relay), ..presence::Reply::default() };
     let peer = Peer { instance: "store-1".into(), is_fresh: true };
+    let part = transfer::Part {
+        revision: 3,
+        size: 9,
+        digest: Digest::of(b"package"),
+        offset: 2,
+        content: b"content".to_vec(),
+    };
     let responses = [
         ("done", Response::Done),
         ("data", Response::Data(b"reply".to_vec())),
@@ -221,6 +235,7 @@
         ("unknown", Response::Unknown),
         ("text", Response::Text("{}".into())),
         ("peer", Response::Peer { peer, has_identity: true }),
+        ("part", Response::RegistryPart(part)),
     ];
     for (name, response) in responses {
         check(&format!("response-{name}"), &response);
@@ -232,7 +247,12 @@
     }];
     let extended = presence::Reply { versions, ..reply.clone() };
     let relayed = presence::Reply { quarantine: quarantine(), ..extended.clone() };
-    check("response-heartbeat-quarantine", &Response::HeartbeatReply(Box::new(relayed)));
+    let serving = presence::Reply { serves_parts: true, ..relayed.clone() };
+    check("response-heartbeat-serves-parts", &Response::HeartbeatReply(Box::new(serving)));
+    check_without_tail(
+        "response-heartbeat-quarantine",
+        &Response::HeartbeatReply(Box::new(relayed)),
+    );
     check_without_tail(
         "response-heartbeat-versions",
         &Response::HeartbeatReply(Box::new(extended)),
--- a/crates/protocol/tests/main.rs
+++ b/crates/protocol/tests/main.rs
@@ -9,4 +9,5 @@
 mod presence;
 mod routes;
 mod settings;
+mod transfer;
 mod wire;
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -27,6 +27,7 @@
 use protocol::routes::Table;
 use rand::RngExt;
 use state::collections::Map;
+use state::registry::Registry;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -361,11 +362,9 @@
             if roster_digest.replace(roster.digest) != Some(roster.digest) {
                 self.apply_roster(&roster);
             }
-            if let Some(document) = &registry.document {
-                let current = self.table().map_or(0, |table| table.version());
-                if document.version > current {
-                    self.apply_configuration(document.version, &document.content);
-                }
+            let version = registry.version();
+            if version > self.table().map_or(0, |table| table.version()) {
+                self.apply_configuration(registry).await;
             }
             self.member.set_ready(self.is_ready());
             if view.changed().await.is_err() {
@@ -382,10 +381,18 @@
         }
     }
 
-    fn apply_configuration(&self, version: u64, content: &[u8]) {
-        let config = self.adapter.decode_config(content);
-        let table = config.and_then(|config| Table::new(config).map_err(|e| e.to_string()));
-        match table {
+    /// Decodes the configuration of `registry` on a thread of its own, since thousands of routes
+    /// would delay the events of all streams.
+    async fn apply_configuration(self: &Arc<Self>, registry: Arc<Registry>) {
+        let version = registry.version();
+        let adapter = self.adapter.clone();
+        let decode = move || {
+            let content = registry.document.as_ref().map_or(&[][..], |document| &document.content);
+            let config = adapter.decode_config(content)?;
+            Table::new(config).map_err(|error| error.to_string())
+        };
+        let table = tokio::task::spawn_blocking(decode).await;
+        match table.unwrap_or_else(|error| Err(error.to_string())) {
             Ok(table) => {
                 if let Ok(mut current) = self.table.write() {
                     *current = Some(Arc::new(table));
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -4,11 +4,12 @@
 //! their replies. One control instance at a time also relays the backend server list and the
 //! entries' loads.
 
+use crate::clock::millis;
 use crate::member::node::Member;
 use crate::member::replica::{CONTROL, PROGRAMS};
 use crate::storage::BUILD;
 use coordination::routing;
-use protocol::presence::{Heartbeat, Replica, Reply, Role};
+use protocol::presence::{self, Heartbeat, Replica, Reply, Role};
 use protocol::wire::{Request, Response};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -32,17 +33,28 @@
         let heartbeat = heartbeat(&member);
         let addresses = member.control_addresses();
         let relay = source.choose(&member, &addresses);
+        let (revision, now) = (heartbeat.revision, member.clock.now());
+        let asked = member.offers.lock().ok().and_then(|mut offers| offers.ask(revision, now));
+        let serves_parts =
+            |address: &str| member.offers.lock().is_ok_and(|offers| offers.serves_parts(address));
         for address in addresses {
             let (member, mut heartbeat) = (member.clone(), heartbeat.clone());
             // Control instances request the list from all others: there are few of them, and
             // entries depend on the list of each one.
             heartbeat.wants_relay =
                 heartbeat.role == Role::Control || Some(&address) == relay.as_ref();
+            if asked.as_ref() != Some(&address) && !serves_parts(&address) {
+                heartbeat.revision = presence::NOT_WANTED;
+            }
             tokio::spawn(async move {
+                let sent_at = Instant::now();
                 let request = Request::Heartbeat(Box::new(heartbeat));
                 let response = member.transport.call(&address, &request, HEARTBEAT_TIMEOUT).await;
                 match response {
-                    Ok(Response::HeartbeatReply(reply)) => apply_reply(&member, &address, *reply),
+                    Ok(Response::HeartbeatReply(reply)) => {
+                        let elapsed_ms = millis(sent_at.elapsed());
+                        apply_reply(&member, &address, *reply, elapsed_ms);
+                    }
                     _ => drop(member.metrics.heartbeats_unanswered.inc()),
                 }
             });
@@ -120,6 +132,7 @@
         rate_limits: usage.rate_limits,
         build: BUILD,
         quarantine,
+        fetches_registry: true,
     }
 }
 
@@ -142,17 +155,20 @@
 }
 
 /// Applies the reply of a control instance.
-fn apply_reply(member: &Member, from: &str, reply: Reply) {
-    let revision = member.view.borrow().registry.revision;
-    if let Some(registry) = reply.registry.filter(|registry| registry.revision > revision) {
+fn apply_reply(member: &Member, from: &str, reply: Reply, elapsed_ms: u64) {
+    let own_revision = member.view.borrow().registry.revision;
+    if let Ok(mut offers) = member.offers.lock() {
+        offers.record(from, reply.revision, reply.serves_parts, member.clock.now());
+        if reply.registry.is_some() {
+            offers.arrived();
+        }
+    }
+    if reply.revision > own_revision {
+        member.newer_offered.notify_one();
+    }
+    if let Some(registry) = reply.registry {
         member.metrics.registry_bytes_received.inc_by(registry.size());
-        tracing::info!(
-            from,
-            revision = registry.revision,
-            version = registry.version(),
-            "registry received"
-        );
-        member.update_registry(registry);
+        member.receive_registry(registry, from, elapsed_ms);
     }
     if let Some(relayed) = reply.list {
         member.servers.send_modify(|view| {
--- a/crates/transport/src/member/mod.rs
+++ b/crates/transport/src/member/mod.rs
@@ -6,6 +6,7 @@
 //! (`coordination::membership`).
 
 mod beats;
+mod fetch;
 mod metrics;
 mod node;
 mod operators;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Clock;
 use crate::leaders::{self, Leaders};
+use crate::member::fetch::{self, Packages};
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
 use crate::member::{Metrics, Settings, beats, servers};
@@ -14,8 +15,10 @@
 use crate::rpc::{self, Handler};
 use crate::tcp::Transport;
 use coordination::membership::{self, Candidate};
+use coordination::offers::Offers;
 use coordination::placement::Listing;
 use coordination::quarantine::{Quarantine, Report};
+use coordination::routing;
 use protocol::presence::{Heartbeat, Reply, Role, Roster, Update};
 use protocol::wire::{Request, Response};
 use state::collections::Map;
@@ -85,6 +88,12 @@
     pub(crate) duplicates: Mutex<Vec<Listing>>,
     /// Content that crashes backend servers.
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// Registries that this control instance serves in parts.
+    pub(crate) packages: Mutex<Packages>,
+    /// Registries that control instances have.
+    pub(crate) offers: Mutex<Offers>,
+    /// Notified when a control instance has a newer registry.
+    pub(crate) newer_offered: Notify,
     pub(crate) metrics: Metrics,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
@@ -120,6 +129,9 @@
             usage_source: OnceLock::new(),
             duplicates: Mutex::default(),
             quarantine: Mutex::default(),
+            packages: Mutex::default(),
+            offers: Mutex::default(),
+            newer_offered: Notify::new(),
             metrics: Metrics::default(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
@@ -130,6 +142,7 @@
         tokio::spawn(transport.serve(listener));
         member.open_replica()?;
         tokio::spawn(beats::run(member.clone()));
+        tokio::spawn(fetch::run(member.clone()));
         Ok(member)
     }
 
@@ -269,9 +282,22 @@
         all
     }
 
-    /// Replaces the registry in the view by a newer one.
-    pub(crate) fn update_registry(&self, registry: Registry) {
-        self.view.send_modify(|view| view.registry = Arc::new(registry));
+    /// Replaces the registry in the view if `registry` is newer; returns whether it is.
+    fn update_registry(&self, registry: Registry) -> bool {
+        self.view.send_if_modified(|view| {
+            let is_newer = registry.revision > view.registry.revision;
+            if is_newer {
+                view.registry = Arc::new(registry);
+            }
+            is_newer
+        })
+    }
+
+    /// Applies the registry that a control instance sent.
+    pub(crate) fn receive_registry(&self, registry: Registry, from: &str, elapsed_ms: u64) {
+        let (revision, version, bytes) = (registry.revision, registry.version(), registry.size());
+        let is_newer = self.update_registry(registry);
+        tracing::info!(from, revision, version, bytes, elapsed_ms, is_newer, "registry received");
     }
 
     /// Sends the planner the instances that can hold a replica; `revision` is the registry
@@ -292,13 +318,11 @@
             let now = status.borrow_and_update().applied;
             if applied != Some(now) {
                 applied = Some(now);
-                match registry(&handle).await {
-                    Some(registry) if registry.revision > self.view.borrow().registry.revision => {
-                        let (revision, version) = (registry.revision, registry.version());
+                if let Some(registry) = registry(&handle).await {
+                    let (revision, version) = (registry.revision, registry.version());
+                    if self.update_registry(registry) {
                         tracing::info!(revision, version, "registry changed");
-                        self.update_registry(registry);
                     }
-                    _ => {}
                 }
             }
             if status.changed().await.is_err() {
@@ -357,6 +381,7 @@
     fn reply(&self, heartbeat: Heartbeat) -> Response {
         let registry = self.view.borrow().registry.clone();
         let (name, role, revision) = (heartbeat.name.clone(), heartbeat.role, heartbeat.revision);
+        let fetches = heartbeat.fetches_registry;
         let (wants_relay, roster) = (heartbeat.wants_relay, heartbeat.roster_digest);
         let is_relayed = wants_relay && role != Role::Programs;
         let (snapshot, list, versions) = match is_relayed {
@@ -391,8 +416,17 @@
         };
         let serves_callers = is_relayed && role == Role::Entry;
         let servers = snapshot.filter(|_| serves_callers).map(|snapshot| snapshot.servers);
-        let is_behind = revision < registry.revision;
-        if is_behind {
+        let control = presence.addresses(Role::Control);
+        let sends_registry = !fetches
+            && presence.is_registry_due(&name, &registry, |name| {
+                // Instances of earlier builds take turns with the control instances, beginning with
+                // a different one each.
+                let own = control.iter().position(|address| *address == self.settings.address);
+                let count = control.len().max(1);
+                let first = routing::digest(name.as_bytes()) as usize % count;
+                (own.unwrap_or(0) + count - first) % count
+            });
+        if sends_registry {
             let bytes = registry.size();
             self.metrics.registry_bytes_sent.inc_by(bytes);
             tracing::info!(
@@ -404,8 +438,8 @@
             );
         }
         let reply = Reply {
-            registry: is_behind.then(|| Registry::clone(&registry)),
-            control: presence.addresses(Role::Control),
+            registry: sends_registry.then(|| Registry::clone(&registry)),
+            control,
             programs,
             has_leader: leader.is_some(),
             candidates,
@@ -416,6 +450,7 @@
             roster: if serves_callers { presence.roster(roster) } else { None },
             versions,
             quarantine,
+            serves_parts: true,
         };
         Response::HeartbeatReply(Box::new(reply))
     }
@@ -443,6 +478,9 @@
         };
         match request {
             Request::Heartbeat(body) if self.settings.role == Role::Control => self.reply(*body),
+            Request::RegistryPart(request) if self.settings.role == Role::Control => {
+                self.registry_part(request).map_or(Response::Unknown, Response::RegistryPart)
+            }
             Request::Dump { .. } => Response::Text(self.dump().to_string()),
             other => {
                 tracing::warn!(from, ?other, "refused a request that this instance does not serve");
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -12,6 +12,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Timeout with which earlier builds wait for a reply. A registry that was put into a reply counts as
+/// lost after it.
+const EARLIER_REPLY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Last heartbeat of one instance.
 #[derive(Debug, Clone)]
 struct Instance {
@@ -19,6 +23,10 @@
     /// Digest of its address for callers, or 0 without one.
     digest: u64,
     received_at: Instant,
+    /// Time since when its heartbeats name an older registry.
+    behind_since: Option<Instant>,
+    /// Time at which the registry was last put into a reply to it.
+    registry_sent_at: Option<Instant>,
 }
 
 /// Last heartbeats of all instances, by name.
@@ -38,13 +46,51 @@
         let digest =
             heartbeat.callers.as_ref().map_or(0, |address| routing::digest(address.as_bytes()));
         let build = heartbeat.build;
-        let instance = Instance { heartbeat, digest, received_at: Instant::now() };
-        let old = self.instances.insert(instance.heartbeat.name.clone(), instance);
+        let now = Instant::now();
+        let old = self.instances.remove(&heartbeat.name);
+        let (behind_since, registry_sent_at) =
+            old.as_ref().map_or((None, None), |old| (old.behind_since, old.registry_sent_at));
+        let name = heartbeat.name.clone();
+        let received_at = now;
+        let instance = Instance { heartbeat, digest, received_at, behind_since, registry_sent_at };
+        self.instances.insert(name, instance);
         old.is_none_or(|old| {
             old.received_at.elapsed() > self.timeout || old.heartbeat.build != build
         })
     }
 
+    /// Whether the reply to the last heartbeat of `name`, which does not fetch the registry in parts,
+    /// must contain it. Each control instance sends one copy at a time, and they take turns: `turn` is
+    /// the position of this one for the instance.
+    pub(crate) fn is_registry_due(
+        &mut self,
+        name: &str,
+        registry: &Registry,
+        turn: impl FnOnce(&str) -> usize,
+    ) -> bool {
+        let control = self.heartbeats(Role::Control).count().max(1);
+        let Some(instance) = self.instances.get_mut(name) else {
+            return false;
+        };
+        if instance.heartbeat.revision >= registry.revision {
+            (instance.behind_since, instance.registry_sent_at) = (None, None);
+            return false;
+        }
+        let now = Instant::now();
+        let since = *instance.behind_since.get_or_insert(now);
+        let turns = |count: usize| {
+            EARLIER_REPLY_TIMEOUT.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+        };
+        let due_at = instance
+            .registry_sent_at
+            .map_or_else(|| since + turns(turn(name)), |sent_at| sent_at + turns(control));
+        let is_due = now >= due_at;
+        if is_due {
+            instance.registry_sent_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns the present instances of a role.
     fn present(&self, role: Role) -> impl Iterator<Item = &Instance> {
         let now = Instant::now();
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -69,9 +69,11 @@
             Err(request) => request,
         };
         match request {
-            // Heartbeats are sent only by instances that discover each other from seed addresses.
+            // Only instances that discover each other from seed addresses send heartbeats and fetch
+            // the registry.
             // Requests to replicas are served above.
             Request::Heartbeat(_)
+            | Request::RegistryPart(_)
             | Request::Consensus(_)
             | Request::Submit { .. }
             | Request::Query { .. }
