fix(gateway): an unnamed stream goes on at another version at an entry that is cut off

A caller that takes a stream up without naming its first request is served if the service has had one software version for as long as a stream lasts. An entry that is cut off or was frozen counted the time since its last list as time with that version, so a stream that another entry had begun at a new version went on at the old one. The time at which a relayed list was read now counts from the heartbeat, not from the reply, which may have been delayed. Conclusion: the fault could happen here for callers that name no request.

--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -111,6 +111,8 @@
     pub(crate) is_journal_unreachable: AtomicBool,
     /// Digest of the list that was last applied to the fleet, or 0.
     list_digest: AtomicU64,
+    /// Time at which the list that was last applied to the fleet was read; 0 before the first one.
+    pub(crate) list_read_at: watch::Sender<Millis>,
     table: RwLock<Option<Arc<Table>>>,
     list: Arc<dyn List>,
     stop: watch::Sender<server::Phase>,
@@ -154,6 +156,7 @@
             queues: Mutex::default(),
             is_journal_unreachable: AtomicBool::new(false),
             list_digest: AtomicU64::new(0),
+            list_read_at: watch::Sender::new(0),
             table: RwLock::new(None),
             list,
             stop,
@@ -456,6 +459,7 @@
                 self.count_leaving(&fleet);
             }
         }
+        self.list_read_at.send_replace(read_at);
         self.member.set_ready(self.is_ready());
     }
 
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -224,6 +224,7 @@
             return Ok(answered);
         }
         let service = route.pick(rand::rng().next_u64());
+        self.await_versions(metadata, &route, service, deadline).await?;
         let start = self.start_of_stream(metadata, &route, service)?;
         let begun = self.begin(metadata, &route, start, deadline).await?;
         let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
--- a/crates/transport/src/gateway/origin.rs
+++ b/crates/transport/src/gateway/origin.rs
@@ -8,7 +8,7 @@
 use crate::gateway::dialect::{Metadata, Refusal};
 use crate::gateway::flow::{Error, Handler};
 use crate::gateway::sending::{Outbound, PLACEMENT_SHARE};
-use coordination::placement::{Listing, Query};
+use coordination::placement::{Fleet, Listing, Query};
 use protocol::routes::Route;
 use state::error::Kind;
 use state::turn::{Assignment, Origin, Start};
@@ -26,6 +26,44 @@
 }
 
 impl Handler {
+    /// Waits until this entry knows which software versions were in service when the request
+    /// arrived, if it takes up a stream without naming its first request. A list that was read before
+    /// may lack the version that began the stream, as another entry may have known it earlier.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if no list arrives in time, as while this entry is cut off.
+    pub(super) async fn await_versions(
+        &self,
+        metadata: &Metadata,
+        route: &Route,
+        service: &str,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        let resumption = metadata.resumption.as_ref().filter(|_| route.is_resumable);
+        if resumption.is_none_or(|resumption| resumption.origin.is_some()) {
+            return Ok(());
+        }
+        let arrived_at = self.entry.now();
+        let kept_ms = millis(kept_time(metadata, route));
+        let is_settled = |fleet: &Fleet| fleet.only_version(arrived_at, service, kept_ms).is_some();
+        if !self.entry.fleet.lock().is_ok_and(|fleet| is_settled(&fleet)) {
+            // The request will be refused at once.
+            return Ok(());
+        }
+        let timeout = deadline.saturating_duration_since(Instant::now()).mul_f64(PLACEMENT_SHARE);
+        let mut list_read_at = self.entry.list_read_at.subscribe();
+        let read = list_read_at.wait_for(|read_at| *read_at >= arrived_at);
+        if tokio::time::timeout(timeout, read).await.is_ok() {
+            return Ok(());
+        }
+        let age_ms = arrived_at.saturating_sub(*self.entry.list_read_at.borrow());
+        tracing::info!(request = metadata.id, age_ms, "software versions in service not known");
+        let detail = "the request doesn't name the one that began the stream, and this entry has no \
+                      current list of servers";
+        Err(self.refuse_resumption("outdated", detail))
+    }
+
     /// Returns how the stream of the request starts if a later request may take it up.
     pub(super) fn start_of_stream(
         &self,
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -52,8 +52,7 @@
                 let response = member.transport.call(&address, &request, HEARTBEAT_TIMEOUT).await;
                 match response {
                     Ok(Response::HeartbeatReply(reply)) => {
-                        let elapsed_ms = millis(sent_at.elapsed());
-                        apply_reply(&member, &address, *reply, elapsed_ms);
+                        apply_reply(&member, &address, *reply, sent_at);
                     }
                     _ => drop(member.metrics.heartbeats_unanswered.inc()),
                 }
@@ -154,8 +153,8 @@
     })
 }
 
-/// Applies the reply of a control instance.
-fn apply_reply(member: &Member, from: &str, reply: Reply, elapsed_ms: u64) {
+/// Applies the reply of a control instance to a heartbeat that was sent at `sent_at`.
+fn apply_reply(member: &Member, from: &str, reply: Reply, sent_at: Instant) {
     let own_revision = member.view.borrow().registry.revision;
     if let Ok(mut offers) = member.offers.lock() {
         offers.record(from, reply.revision, reply.serves_parts, member.clock.now());
@@ -168,14 +167,14 @@
     }
     if let Some(registry) = reply.registry {
         member.metrics.registry_bytes_received.inc_by(registry.size());
-        member.receive_registry(registry, from, elapsed_ms);
+        member.receive_registry(registry, from, millis(sent_at.elapsed()));
     }
     if let Some(relayed) = reply.list {
         member.servers.send_modify(|view| {
             view.relayed_at = Some(Instant::now());
             let digest = relayed.digest;
             let now = member.clock.now();
-            view.apply(relayed, now);
+            view.apply(relayed, sent_at, now);
             // An isolated control instance may have missed a change of versions.
             let is_fresh = !view.is_stale();
             if is_fresh {
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -140,10 +140,11 @@
         }
     }
 
-    /// Applies a list that is relayed at `now` if it was read later than the local one.
-    pub(crate) fn apply(&mut self, relayed: Relay, now: Millis) {
-        let Some(read_at) = Instant::now().checked_sub(Duration::from_millis(relayed.age_ms))
-        else {
+    /// Applies a list that is relayed at `now`, in reply to a heartbeat sent at `sent_at`, if it was
+    /// read later than the local one. It is at most as old as if the reply had been sent at
+    /// `sent_at`; when it was sent after that is not known, since the reply may have been delayed.
+    pub(crate) fn apply(&mut self, relayed: Relay, sent_at: Instant, now: Millis) {
+        let Some(read_at) = sent_at.checked_sub(Duration::from_millis(relayed.age_ms)) else {
             return;
         };
         if self.list.as_ref().is_some_and(|snapshot| snapshot.read_at >= read_at) {
