fix(gateway): a request that arrives late in a planned stop is cut without an answer

A request whose head had begun before the entry stopped was sent on to a backend server whenever its rest arrived, up to the last moment, and was cut when the process ended. So was a request whose server didn't respond in time. Ruled out: connections without a request, and those opened during the stop; they are closed unread. At the end of the stop a request without a response is answered: not executed if it was not sent on, otherwise outcome unknown (504).

--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -77,6 +77,9 @@
     }
 }
 
+/// Time for sending the answers to requests that got no response during a stop.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// Interval between two checks for requests in flight during a stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -115,7 +118,7 @@
     pub(crate) list_read_at: watch::Sender<Millis>,
     table: RwLock<Option<Arc<Table>>>,
     list: Arc<dyn List>,
-    stop: watch::Sender<server::Phase>,
+    pub(crate) stop: watch::Sender<server::Phase>,
 }
 
 impl Entry {
@@ -180,7 +183,8 @@
 
     /// Stops gracefully. Callers are directed to other entries, those that still use this
     /// address are served for `address_ttl`, then requests in flight get `drain_timeout` to
-    /// complete.
+    /// complete. Requests that arrive later are refused, and those without a response after that
+    /// time are answered.
     pub async fn stop(&self) {
         self.member.leave();
         tokio::time::sleep(self.settings.address_ttl / 2).await;
@@ -195,6 +199,8 @@
         if tokio::time::timeout(self.settings.drain_timeout, idle).await.is_err() {
             let remaining = self.under_way.load(Ordering::Relaxed);
             tracing::warn!(remaining, "stop timed out with requests in flight");
+            self.stop.send_replace(server::Phase::Ended);
+            tokio::time::sleep(LAST_ANSWERS_TIME).await;
         }
     }
 
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -15,6 +15,7 @@
 use crate::gateway::origin::Versions;
 use crate::gateway::relay::{Abort, Body, Draft, Params, Progress, Relay};
 use crate::gateway::sending::Outbound;
+use crate::gateway::server::{Phase, wait_for_phase};
 use crate::gateway::turns::{Admission, Turn};
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, header, request};
@@ -25,7 +26,7 @@
 use state::error::Kind;
 use state::turn::{Assignment, Begin, Reservation, Start};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -100,11 +101,12 @@
         },
         entry: entry.clone(),
         may_have_executed: false,
+        is_sent: AtomicBool::new(false),
         versions: Versions::Any,
         source,
     };
     let outcome = match metadata {
-        Ok(metadata) => handler.handle(&metadata, head, body).await,
+        Ok(metadata) => handler.handle_until_stopped(&metadata, head, body).await,
         Err(refusal) => Err(Error::Refused(refusal)),
     };
     match outcome {
@@ -136,6 +138,8 @@
     pub(super) progress: Progress,
     /// Whether a backend server may have executed an attempt that got no response.
     pub(super) may_have_executed: bool,
+    /// Whether the request was sent to a backend server or another entry.
+    pub(super) is_sent: AtomicBool,
     /// Software versions of the backend servers that the request may be sent to.
     pub(super) versions: Versions,
     pub(super) source: Source,
@@ -198,6 +202,31 @@
 }
 
 impl Handler {
+    /// Handles the request, unless this entry stops. A request that arrives when no more are sent on
+    /// is refused; one without a response at the end of the stop is answered.
+    async fn handle_until_stopped(
+        &mut self,
+        metadata: &Metadata,
+        head: request::Parts,
+        body: Incoming,
+    ) -> Result<Answered, Error> {
+        let mut phase = self.entry.stop.subscribe();
+        if *phase.borrow() >= Phase::Closed {
+            return Err(Refusal::new(Kind::Stopping, "this instance is stopping").into());
+        }
+        let handled = tokio::select! {
+            handled = self.handle(metadata, head, body) => Some(handled),
+            () = wait_for_phase(&mut phase, Phase::Ended) => None,
+        };
+        handled.unwrap_or_else(|| {
+            let refusal = match self.is_sent.load(Ordering::Relaxed) {
+                true => Refusal::new(Kind::Unknown, "this instance stopped before a response"),
+                false => Refusal::new(Kind::Stopping, "this instance is stopping"),
+            };
+            Err(refusal.into())
+        })
+    }
+
     /// Reads the body, begins the turn and dispatches the request.
     async fn handle(
         &mut self,
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -17,6 +17,7 @@
 use protocol::routes::{Retry, Route};
 use rand::seq::IndexedRandom;
 use state::error::Kind;
+use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
 /// Maximum number of entries to which a request is forwarded, one after the other.
@@ -138,6 +139,7 @@
             };
             let remaining_ms = millis(remaining);
             tracing::info!(request = metadata.id, relay, remaining_ms, "request forwarded");
+            self.is_sent.store(true, Ordering::Relaxed);
             match tokio::time::timeout(remaining, connection.send(request)).await {
                 Ok(Ok(response)) => {
                     return Ok(Forwarded::Answered(Box::new((response, attempt))));
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -24,6 +24,7 @@
 use rand::RngExt;
 use state::error::Kind;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -365,6 +366,7 @@
                 list_age_ms = self.progress.list_age_ms,
                 "request sent"
             );
+            self.is_sent.store(true, Ordering::Relaxed);
             let sent = self.wait(outbound, connection.send(request), remaining, attempted).await;
             let response = match sent {
                 Ok(Ok(response)) => response,
--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -35,8 +35,10 @@
     Serving,
     /// New connections are served, idle connections are closed.
     Closing,
-    /// No new connections are accepted.
+    /// No new connections are accepted, and no new requests are sent on.
     Closed,
+    /// The process is about to end: requests without a response are answered.
+    Ended,
 }
 
 /// Accepts connections until the stop is complete.
@@ -119,6 +121,6 @@
 }
 
 /// Waits until the stop has reached the phase `wanted` or the gateway has been dropped.
-async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
+pub(crate) async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     drop(phase.wait_for(|phase| *phase >= wanted).await);
 }
