fix(gateway): a connection that is opened during a planned stop is closed unread

Cause: callers that use an address they looked up before the stop had about half of their connections closed without an answer between 1.6 and 3.2 s. The graceful shutdown of the HTTP server closes a connection that has not read anything yet; whether that came first was chosen at random. Change: a connection that is opened during a stop serves one request, and is shut down only once no more requests are taken. Conclusion: found while a flaky test was traced.

--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -89,7 +89,12 @@
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         flow::respond(entry.clone(), request, source)
     });
+    // A connection that is opened during a stop serves one request. A graceful shutdown before that
+    // would close it unread.
+    let is_stopping = *phase.borrow() >= Phase::Closing;
+    let last_phase = if is_stopping { Phase::Closed } else { Phase::Closing };
     let mut connection = http1::Builder::new()
+        .keep_alive(!is_stopping)
         .timer(TokioTimer::new())
         // hyper counts this timeout from the end of the last response, so it also limits how
         // long a connection may be idle.
@@ -99,7 +104,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut connection => ended,
-        () = wait_for_phase(&mut phase, Phase::Closing) => {
+        () = wait_for_phase(&mut phase, last_phase) => {
             Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
