fix(member): a control instance that has not caught up is asked for parts in a tight loop

A control instance that starts again may serve an older registry than its last reply named; the instance that fetches asked it again without a pause until that reply was a second old. Change: such a control instance is ignored until its next reply. Asking the next one after a failure has one function. Conclusion: bounded by one request a reply.

--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -167,7 +167,8 @@
     }
     if let Some(registry) = reply.registry {
         member.metrics.registry_bytes_received.inc_by(registry.size());
-        member.receive_registry(registry, from, millis(sent_at.elapsed()));
+        // Other control instances may have sent it before.
+        let _ = member.receive_registry(registry, from, millis(sent_at.elapsed()));
     }
     if let Some(relayed) = reply.list {
         member.servers.send_modify(|view| {
--- a/crates/transport/src/member/fetch.rs
+++ b/crates/transport/src/member/fetch.rs
@@ -5,6 +5,7 @@
 //! does not arrive. A control instance thus holds one part for each instance that is behind, and
 //! a slow link carries each revision once.
 
+use crate::clock::millis;
 use crate::member::node::Member;
 use protocol::transfer::{Assembly, Package, Part, Request};
 use protocol::wire;
@@ -18,7 +19,7 @@
 /// requests of callers.
 const PART_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Pause after a part that did not arrive while no other control instance has the registry.
+/// Pause before the next control instance is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Number of packages that a control instance retains, so that an instance can complete a
@@ -82,6 +83,15 @@
         self.metrics.registry_bytes_sent.inc_by(part.content.len() as u64);
         Some(part)
     }
+
+    /// Ignores a control instance until its next reply, and waits so that another one is not asked
+    /// in a tight loop.
+    async fn forget_offer(&self, address: &str) {
+        if let Ok(mut offers) = self.offers.lock() {
+            offers.forget(address);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
 }
 
 /// Fetches each newer registry for as long as the process runs.
@@ -106,25 +116,22 @@
         let response = member.transport.call(&source, &call, PART_TIMEOUT).await;
         let Ok(wire::Response::RegistryPart(part)) = response else {
             tracing::warn!(source, ?request, ?response, "part of the registry not received");
-            if let Ok(mut offers) = member.offers.lock() {
-                offers.forget(&source);
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
+            member.forget_offer(&source).await;
             continue;
         };
         member.metrics.registry_bytes_received.inc_by(part.content.len() as u64);
         match assembly.add(part) {
             Ok(Some(registry)) => {
-                let elapsed_ms = crate::clock::millis(started_at.elapsed());
-                member.receive_registry(registry, &source, elapsed_ms);
+                let elapsed_ms = millis(started_at.elapsed());
+                if !member.receive_registry(registry, &source, elapsed_ms) {
+                    // The control instance has started again and has not caught up yet.
+                    member.forget_offer(&source).await;
+                }
             }
             Ok(None) => {}
             Err(error) => {
                 tracing::error!(source, %error, "registry received but not usable");
-                if let Ok(mut offers) = member.offers.lock() {
-                    offers.forget(&source);
-                }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                member.forget_offer(&source).await;
             }
         }
     }
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -293,11 +293,12 @@
         })
     }
 
-    /// Applies the registry that a control instance sent.
-    pub(crate) fn receive_registry(&self, registry: Registry, from: &str, elapsed_ms: u64) {
+    /// Applies the registry that a control instance sent; returns whether it is newer.
+    pub(crate) fn receive_registry(&self, registry: Registry, from: &str, elapsed_ms: u64) -> bool {
         let (revision, version, bytes) = (registry.revision, registry.version(), registry.size());
         let is_newer = self.update_registry(registry);
         tracing::info!(from, revision, version, bytes, elapsed_ms, is_newer, "registry received");
+        is_newer
     }
 
     /// Sends the planner the instances that can hold a replica; `revision` is the registry
