--- /dev/null
+++ b/crates/coordination/src/placement/settings.rs
@@ -0,0 +1,52 @@
+//! Thresholds of the choice of backend servers.
+
+use crate::Millis;
+use serde::Deserialize;
+
+/// Thresholds of the placement decision and durations of suspensions.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Load below which a program stays on its server, in percent of the slots. Up to there the
+    /// wait for a slot is shorter than computing the program's context again, which would also
+    /// delay all other requests on the new server.
+    pub stay_percent: u32,
+    /// Load from which a server is sent no further requests, in percent of the slots, except those
+    /// that stay on it. More would only wait there, regardless of priorities; engines admit several
+    /// times their slots.
+    pub full_percent: u32,
+    /// Slots that are kept free of new programs, in percent of the square root of all slots; half
+    /// of the slots at most. The number of requests of programs under way varies by about that
+    /// root, so servers with few slots need a larger part of them as a reserve.
+    pub reserve_percent: u32,
+    /// Load from which a server counts as crowded, in percent of the slots: then more servers
+    /// than the two chosen ones, and servers of other failure domains, are considered. Below it
+    /// an engine's steps take little longer than for a single request.
+    pub spill_percent: u32,
+    /// By how much a server of another failure domain must be less loaded than a local one, in
+    /// percent of the slots. The margin allows for the age of the reported loads.
+    pub spill_margin_percent: u32,
+    /// First suspension of a server that could not be reached, in milliseconds; the time of a
+    /// few connection attempts.
+    pub suspend_ms: Millis,
+    /// Maximum suspension, in milliseconds; servers that crashed return within seconds.
+    pub suspend_most_ms: Millis,
+    /// Suspension after a server refused a request because it was full, in milliseconds;
+    /// roughly the time until one of its requests ends.
+    pub full_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            stay_percent: 200,
+            full_percent: 125,
+            reserve_percent: 140,
+            spill_percent: 75,
+            spill_margin_percent: 25,
+            suspend_ms: 250,
+            suspend_most_ms: 2_000,
+            full_ms: 50,
+        }
+    }
+}
