feat(placement): requests about an object go to the same server from every entry

Cause: requests about the same object carry X-Affinity-Key; a server that handled the object lately works faster. It was not read: the program decided, so requests about one object were spread over all servers. Conclusion: all entries come to the same server without asking each other.

--- a/crates/coordination/src/placement/choice.rs
+++ b/crates/coordination/src/placement/choice.rs
@@ -9,13 +9,26 @@
 /// ended long ago.
 const REMOTE_LOAD_MAX_AGE_MS: Millis = 1_500;
 
+/// What makes some servers faster for a request than others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Affinity<'a> {
+    /// Nothing.
+    #[default]
+    None,
+    /// The session of the request, whose content a server may have cached.
+    Session(&'a str),
+    /// The object that the request is about, by its digest. Servers that handled it lately work
+    /// faster.
+    Object(u64),
+}
+
 /// Query for a backend server: requirements and preferences of one request.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Query<'a> {
     /// Name of the service.
     pub service: &'a str,
-    /// Session of the request, which is kept on the same servers for their caches.
-    pub session: Option<&'a str>,
+    /// Which servers are faster for the request.
+    pub affinity: Affinity<'a>,
     /// Identifier of the server that executed the session's last request.
     pub last_server: Option<&'a str>,
     /// Whether the request begins a program.
@@ -115,10 +128,14 @@
         {
             return Some(&last_server.listed);
         }
+        if let Some(server) = self.for_object(&available, query.affinity) {
+            return Some(&server.listed);
+        }
         let is_local = |server: &&Server| server.listed.failure_domain == self.failure_domain;
         let (local, remote): (Vec<&Server>, Vec<&Server>) =
             available.into_iter().partition(is_local);
-        let (local, remote) = (self.best(&local, query.session), self.best(&remote, query.session));
+        let (local, remote) =
+            (self.best(&local, query.affinity), self.best(&remote, query.affinity));
         let server = match (local, remote) {
             (Some(local), Some(remote)) => {
                 let margin = self.settings.spill_margin_percent;
@@ -131,16 +148,35 @@
         server.map(|server| &server.listed)
     }
 
+    /// Chooses the server for a request about an object: the first one in the object's order that is
+    /// not crowded. `None` without an object, or if all are crowded.
+    fn for_object<'a>(
+        &self,
+        available: &[&'a Server],
+        affinity: Affinity<'_>,
+    ) -> Option<&'a Server> {
+        let Affinity::Object(object) = affinity else {
+            return None;
+        };
+        let is_crowded = |s: &Server| s.load_percent() >= self.settings.spill_percent;
+        let open = available.iter().copied().filter(|server| !is_crowded(server));
+        open.max_by_key(|server| routing::mix(object, server.digest))
+    }
+
     /// Chooses among servers that are all local or all remote.
-    fn best<'a>(&self, candidates: &[&'a Server], session: Option<&str>) -> Option<&'a Server> {
-        let Some(session) = session else {
-            let key = routing::digest(self.failure_domain.as_bytes());
-            return candidates
-                .iter()
-                .copied()
-                .min_by_key(|s| (s.load(), routing::mix(key, s.digest)));
+    fn best<'a>(&self, candidates: &[&'a Server], affinity: Affinity<'_>) -> Option<&'a Server> {
+        let key = match affinity {
+            Affinity::None => {
+                let key = routing::digest(self.failure_domain.as_bytes());
+                let load = |s: &&Server| (s.load(), routing::mix(key, s.digest));
+                return candidates.iter().copied().min_by_key(load);
+            }
+            Affinity::Session(session) => routing::digest(session.as_bytes()),
+            Affinity::Object(object) => {
+                let load = |s: &&Server| (s.load_percent(), routing::mix(object, s.digest));
+                return candidates.iter().copied().min_by_key(load);
+            }
         };
-        let key = routing::digest(session.as_bytes());
         let mut best_two = [None; 2];
         for server in candidates.iter().copied() {
             let scored = Some((routing::mix(key, server.digest), server));
--- a/crates/coordination/src/placement/fleet.rs
+++ b/crates/coordination/src/placement/fleet.rs
@@ -133,7 +133,6 @@
         self.servers.values()
     }
 
-    /// Whether a service has an available server with a free slot that has not been attempted.
     /// The software version that all servers of a service have had for at least `period`
     /// milliseconds; see [`History::only`].
     pub fn only_version(&self, now: Millis, service: &str, period: Millis) -> Option<&str> {
--- a/crates/coordination/src/placement/mod.rs
+++ b/crates/coordination/src/placement/mod.rs
@@ -14,6 +14,13 @@
 //! Servers of the local failure domain are preferred until they are clearly more loaded than
 //! remote ones.
 //!
+//! Requests about the same object go to the same server, which works faster once it has handled the
+//! object. There are thousands of objects, each of them rare, and the requests about one arrive at
+//! any instance. Rendezvous hashing gives each object an order of the servers that is the same on
+//! all instances, whatever their failure domain, and that changes only for the objects of servers
+//! that come or go. The first server of that order that isn't crowded is chosen, since waiting
+//! costs more than the object saves.
+//!
 //! Two choices: M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
 
 mod choice;
@@ -22,7 +29,7 @@
 mod server;
 mod settings;
 
-pub use choice::Query;
+pub use choice::{Affinity, Query};
 pub use fleet::Fleet;
 pub use listing::{Change, Listing, split_duplicates};
 pub use server::{Outcome, Server};
--- a/crates/coordination/tests/limit.rs
+++ b/crates/coordination/tests/limit.rs
@@ -1,7 +1,7 @@
 //! Tests of the division of backend servers' rate limits, by replayed loads.
 
 use coordination::limit::Observation;
-use coordination::placement::{Fleet, Listing, Outcome, Query, Settings};
+use coordination::placement::{Affinity, Fleet, Listing, Outcome, Query, Settings};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -62,7 +62,11 @@
                 let at = if self.shift_at.is_some_and(|shift| now >= shift) { 0 } else { at };
                 let session = rng.random_range(0..1_000).to_string();
                 let entry = &mut entries[at];
-                let query = Query { service: "model", session: Some(&session), ..Query::default() };
+                let query = Query {
+                    service: "model",
+                    affinity: Affinity::Session(&session),
+                    ..Query::default()
+                };
                 let Some(id) = entry.choose(now, &query).map(|server| server.id.clone()) else {
                     continue;
                 };
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -1,7 +1,10 @@
 //! Tests of the placement of requests on backend servers.
 
-use coordination::placement::{Fleet, Listing, Outcome, Query, Settings};
+use coordination::placement::{Affinity, Fleet, Listing, Outcome, Query, Settings};
+use coordination::routing;
 use coordination::versions::Settled;
+use state::collections::Map;
+use std::collections::VecDeque;
 
 fn listed(id: &str, domain: &str) -> Listing {
     Listing {
@@ -22,14 +25,15 @@
 }
 
 fn choose(fleet: &Fleet, now: u64, session: Option<&str>) -> Option<String> {
-    let query = Query { service: "model", session, ..Query::default() };
+    let affinity = session.map_or(Affinity::None, Affinity::Session);
+    let query = Query { service: "model", affinity, ..Query::default() };
     fleet.choose(now, &query).map(|listed| listed.id.clone())
 }
 
 fn choose_with_last(fleet: &Fleet, last_server: &str) -> String {
     let query = Query {
         service: "model",
-        session: Some("p"),
+        affinity: Affinity::Session("p"),
         last_server: Some(last_server),
         ..Query::default()
     };
@@ -344,3 +348,105 @@
         }
     }
 }
+
+/// A fleet of `count` tools with 6 slots each in five failure domains, as an instance in `domain`
+/// knows it.
+fn tools(domain: &str, count: usize) -> Fleet {
+    let domains = ["a", "b", "c", "d", "e"];
+    let tool = |i: usize| Listing { slots: 6, ..listed(&format!("t{i}"), domains[i % 5]) };
+    let mut fleet = Fleet::new(Settings::default(), domain, domain);
+    fleet.update(0, (0..count).map(tool).collect());
+    fleet
+}
+
+fn choose_for(fleet: &Fleet, object: u64) -> Option<String> {
+    let affinity = Affinity::Object(object);
+    let query = Query { service: "model", affinity, ..Query::default() };
+    fleet.choose(0, &query).map(|listed| listed.id.clone())
+}
+
+fn digest_of(object: u64) -> u64 {
+    routing::digest(&object.to_le_bytes())
+}
+
+#[test]
+fn requests_about_an_object_reach_several_servers_from_several_instances() {
+    let entries: Vec<Fleet> = ["a", "b", "e"].iter().map(|domain| tools(domain, 25)).collect();
+    let mut used = Map::<String, usize>::default();
+    for object in (0..4_000).map(digest_of) {
+        let chosen: Vec<_> = entries.iter().map(|fleet| choose_for(fleet, object)).collect();
+        assert!(chosen.iter().all(|server| *server == chosen[0]), "{chosen:?}");
+        *used.entry(chosen[0].clone().unwrap()).or_default() += 1;
+    }
+    assert_eq!(used.len(), 25);
+    let most = used.values().max().unwrap();
+    assert!(*most < 2 * 4_000 / 25, "{most} of 4,000 objects on one of 25 servers");
+}
+
+#[test]
+fn more_objects_move_than_those_of_the_servers_that_come_and_go() {
+    let (before, after) = (tools("a", 24), tools("a", 25));
+    let moved = |object: &u64| choose_for(&before, *object) != choose_for(&after, *object);
+    for object in (0..4_000).map(digest_of).filter(moved) {
+        assert_eq!(choose_for(&after, object).unwrap(), "t24", "moved between remaining servers");
+    }
+    let count = (0..4_000).map(digest_of).filter(moved).count();
+    assert!(count < 2 * 4_000 / 25, "{count} of 4,000 objects moved");
+}
+
+#[test]
+fn an_object_is_waited_for_at_a_server_that_cannot_take_it() {
+    let object = digest_of(7);
+    let hinder: [fn(&mut Fleet, &str); 3] = [
+        |fleet, id| (0..5).for_each(|_| fleet.begin(0, id)),
+        |fleet, id| {
+            fleet.begin(0, id);
+            fleet.finish(0, id, Outcome::Failed);
+        },
+        |fleet, id| drop(fleet.announce_leaving(id)),
+    ];
+    for hinder in hinder {
+        let mut entries = [tools("a", 25), tools("b", 25)];
+        for _ in 0..3 {
+            let first = choose_for(&entries[0], object).unwrap();
+            entries.iter_mut().for_each(|fleet| hinder(fleet, &first));
+            let next = choose_for(&entries[0], object).unwrap();
+            assert_ne!(next, first);
+            assert_eq!(choose_for(&entries[1], object).unwrap(), next);
+        }
+    }
+}
+
+/// Half of the requests are about one object; 60 of them are in progress at a time on 25 servers
+/// with 6 slots each. Three instances place them and hear of each other's each tenth request.
+#[test]
+fn one_hot_object_fills_its_server_while_others_are_idle() {
+    let mut entries = [tools("a", 25), tools("b", 25), tools("c", 25)];
+    let mut in_progress = VecDeque::new();
+    let mut crowded = 0;
+    for number in 0..3_000_u64 {
+        let at = (number % 3) as usize;
+        let object = if number % 2 == 0 { 0 } else { number };
+        let server = choose_for(&entries[at], digest_of(object)).unwrap();
+        entries[at].begin(0, &server);
+        in_progress.push_back((at, server.clone()));
+        let load: u32 = entries.iter().map(|fleet| fleet.get(&server).unwrap().outstanding).sum();
+        crowded += u32::from(load > 6);
+        if in_progress.len() > 60 {
+            let (at, server) = in_progress.pop_front().unwrap();
+            entries[at].finish(0, &server, Outcome::Answered);
+        }
+        if number % 10 == 0 {
+            let loads: Vec<_> = entries.iter().map(Fleet::local_loads).collect();
+            for (at, fleet) in entries.iter_mut().enumerate() {
+                let mut sums = Map::<String, u32>::default();
+                let others = loads.iter().enumerate().filter(|(other, _)| *other != at);
+                for (server, load) in others.flat_map(|(_, loads)| loads) {
+                    *sums.entry(server.clone()).or_default() += load;
+                }
+                fleet.set_remote_loads(0, &sums.into_iter().collect::<Vec<_>>());
+            }
+        }
+    }
+    assert!(crowded < 3_000 / 50, "{crowded} of 3,000 requests were sent to a full server");
+}
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -24,6 +24,8 @@
     pub program: Option<String>,
     /// Key of the cached prefix that is shared by the requests of one session.
     pub session: Option<String>,
+    /// Digest of the name of the object that the request is about.
+    pub object: Option<u64>,
     /// Tokens to reserve from the program's budget.
     pub budget: Option<Budget>,
     /// Id of the turn that this request continues from.
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -15,7 +15,7 @@
 use crate::gateway::turns::Turn;
 use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
-use coordination::placement::{Listing, Outcome, Query};
+use coordination::placement::{Affinity, Listing, Outcome, Query};
 use coordination::waiting::{Class, Ticket};
 use http::{HeaderMap, Request, Response, header, request};
 use http_body_util::{BodyExt, Full, Limited};
@@ -78,6 +78,22 @@
     pub(super) deadline: Instant,
 }
 
+impl Outbound<'_> {
+    /// Which servers are faster for the request. The object is more specific than the program, whose
+    /// requests may be about many.
+    fn affinity(&self) -> Affinity<'_> {
+        let metadata = self.metadata;
+        if !self.route.is_sticky {
+            return Affinity::None;
+        }
+        if let Some(object) = metadata.object {
+            return Affinity::Object(object);
+        }
+        let session = metadata.program.as_deref().or(metadata.session.as_deref());
+        session.map_or(Affinity::None, Affinity::Session)
+    }
+}
+
 /// Timeout that expired while waiting for a response.
 enum Timeout {
     /// Per-attempt timeout; the request may be sent to another backend server.
@@ -205,13 +221,11 @@
         outbound: &Outbound<'_>,
         attempted: &[String],
     ) -> Result<Option<Attempt>, Error> {
-        let session = outbound.metadata.program.as_deref().or(outbound.metadata.session.as_deref());
-        let session = session.filter(|_| outbound.route.is_sticky);
         let is_resumption = matches!(self.versions, Versions::Only(_));
         let is_new = outbound.route.is_stream && outbound.last_server.is_none() && !is_resumption;
         let query = Query {
             service: outbound.service,
-            session,
+            affinity: outbound.affinity(),
             last_server: outbound.last_server,
             is_new,
             attempted,
@@ -355,6 +369,7 @@
                 address,
                 server_version,
                 resumes,
+                object = outbound.metadata.object.map(|object| format!("{object:016x}")),
                 is_last_server = outbound.last_server == Some(id.as_str()),
                 load,
                 rate_limit = rate_limit.map(|limit| limit.per_second),
