fix(gateway): a request is refused by an entry that has just started

A caller has one retry; a refusal uses it up. Change: an entry that has just started holds requests for its configuration and list, up to 1 s after its start and 0.3 of the caller's time (waiting::start_limit); after that it refuses at once as before. Changes of the roster are logged. Conclusion: nothing is served by an older configuration: the held request waits for the confirmed one.

--- a/crates/coordination/src/waiting.rs
+++ b/crates/coordination/src/waiting.rs
@@ -28,6 +28,25 @@
 /// has too few departures to estimate a rate from.
 const MIN_WAITING: usize = 2;
 
+/// Time after its start in which an instance usually gets what it needs to serve requests: control
+/// instances that started at the same time elect a leader, in milliseconds.
+const START_MS: Millis = 1_000;
+
+/// Part of its remaining time for which a request may wait for the start of an instance.
+const START_SHARE: f64 = 0.3;
+
+/// Returns the time for which a request may wait at an instance that has been running for `uptime`
+/// and cannot serve requests yet; 0 if it should be rejected at once. All times are in milliseconds.
+///
+/// Load pattern: all instances lose power and start at the same time, or one starts again at an
+/// address that callers still use. Callers come back some 100 ms after the start, all at once, and
+/// have one retry; a rejection would use it up. An instance that is still not ready after the usual
+/// time is cut off, so that its callers had better go elsewhere.
+pub fn start_limit(uptime: Millis, remaining: Millis) -> Millis {
+    let share = (remaining as f64 * START_SHARE) as Millis;
+    START_MS.saturating_sub(uptime).min(share)
+}
+
 /// Class of a request; lower classes go first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Class {
--- a/crates/coordination/tests/waiting.rs
+++ b/crates/coordination/tests/waiting.rs
@@ -1,7 +1,7 @@
 //! Tests of the order and rejection of waiting requests.
 
 use coordination::placement::{Fleet, Listing, Outcome, Query, Settings};
-use coordination::waiting::{Class, Queue};
+use coordination::waiting::{Class, Queue, start_limit};
 
 const UNDER_WAY: Class = Class { priority: 1, is_new: false };
 const NEW: Class = Class { priority: 1, is_new: true };
@@ -151,3 +151,25 @@
     );
     assert!(ordered.ended_in_time > first_come.ended_in_time, "{ordered:?}, {first_come:?}");
 }
+
+/// All instances start at 0 and are ready after 600 ms. 100 callers with 3 s each arrive from 50 ms
+/// on and come back once, 400 ms after a rejection.
+#[test]
+fn callers_use_up_their_retry_while_all_instances_start() {
+    let served = |limit: fn(u64, u64) -> u64| {
+        let is_served = |arrival: u64| arrival + limit(arrival, 3_000) >= 600 || arrival >= 600;
+        let arrivals = (0..100).map(|caller| 50 + 5 * caller);
+        arrivals.filter(|arrival| is_served(*arrival) || is_served(arrival + 400)).count()
+    };
+    assert_eq!(served(start_limit), 100);
+    assert!(served(|_, _| 0) < 80, "rejected at once, {} are served", served(|_, _| 0));
+}
+
+#[test]
+fn a_request_waits_at_an_instance_that_has_failed_to_become_ready() {
+    assert_eq!(start_limit(1_000, 3_000), 0);
+    assert_eq!(start_limit(60_000, 3_000), 0);
+    assert_eq!(start_limit(900, 3_000), 100);
+    assert_eq!(start_limit(0, 1_200), 360);
+    assert_eq!(start_limit(0, 0), 0);
+}
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -21,7 +21,7 @@
 use coordination::placement::{self, Fleet};
 use coordination::reach::Reach;
 use coordination::retry::Budget;
-use coordination::waiting::Queue;
+use coordination::waiting::{self, Queue};
 use http::response;
 use protocol::presence::{RateLimit, Roster};
 use protocol::routes::Table;
@@ -29,10 +29,11 @@
 use state::collections::Map;
 use state::registry::Registry;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -116,7 +117,9 @@
     list_digest: AtomicU64,
     /// Time at which the list that was last applied to the fleet was read; 0 before the first one.
     pub(crate) list_read_at: watch::Sender<Millis>,
-    table: RwLock<Option<Arc<Table>>>,
+    /// Configuration in force on this instance; `None` before the first one.
+    table: watch::Sender<Option<Arc<Table>>>,
+    started_at: Millis,
     list: Arc<dyn List>,
     pub(crate) stop: watch::Sender<server::Phase>,
 }
@@ -142,6 +145,7 @@
         let address = member.settings.caller_address.as_deref().unwrap_or_default();
         let fleet = Fleet::new(settings.placement.clone(), &settings.failure_domain, address);
         let (stop, phase) = watch::channel(server::Phase::Serving);
+        let started_at = member.clock.now();
         let entry = Arc::new(Self {
             pool: Pool::new(settings.connector.clone()),
             relays: Pool::default(),
@@ -160,7 +164,8 @@
             is_journal_unreachable: AtomicBool::new(false),
             list_digest: AtomicU64::new(0),
             list_read_at: watch::Sender::new(0),
-            table: RwLock::new(None),
+            table: watch::Sender::new(None),
+            started_at,
             list,
             stop,
         });
@@ -356,7 +361,33 @@
 
     /// Returns the configuration in force on this instance.
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
-        self.table.read().ok()?.clone()
+        self.table.borrow().clone()
+    }
+
+    /// Waits for a configuration and a backend server list if this instance has just started, for a
+    /// part of the `remaining` time of a request. Returns the configuration, if there is one.
+    pub(super) async fn await_start(
+        &self,
+        request: &str,
+        remaining: Duration,
+    ) -> Option<Arc<Table>> {
+        let is_listed = || self.list_digest.load(Ordering::Relaxed) != 0;
+        if let Some(table) = self.table().filter(|_| is_listed()) {
+            return Some(table);
+        }
+        let uptime = self.now().saturating_sub(self.started_at);
+        let limit = waiting::start_limit(uptime, millis(remaining));
+        let started = Instant::now();
+        let (mut table, mut list_read_at) = (self.table.subscribe(), self.list_read_at.subscribe());
+        let start = async {
+            // The entry holds the senders, so that the waits don't fail.
+            let _ = table.wait_for(Option::is_some).await;
+            let _ = list_read_at.wait_for(|_| is_listed()).await;
+        };
+        let has_started = tokio::time::timeout(Duration::from_millis(limit), start).await.is_ok();
+        let waited_ms = millis(started.elapsed());
+        tracing::info!(request, uptime, limit, waited_ms, has_started, "waited for the start");
+        self.table()
     }
 
     /// Applies each newer configuration of the registry, and each new roster.
@@ -384,6 +415,7 @@
 
     /// Divides the backend servers' rate limits among the entries of the roster.
     fn apply_roster(&self, roster: &Roster) {
+        tracing::info!(entries = roster.entries.len(), "entries for callers changed");
         if let Ok(mut fleet) = self.fleet.lock() {
             fleet
                 .set_sharers(self.now(), roster.entries.iter().map(|entry| entry.address.as_str()));
@@ -403,9 +435,7 @@
         let table = tokio::task::spawn_blocking(decode).await;
         match table.unwrap_or_else(|error| Err(error.to_string())) {
             Ok(table) => {
-                if let Ok(mut current) = self.table.write() {
-                    *current = Some(Arc::new(table));
-                }
+                self.table.send_replace(Some(Arc::new(table)));
                 tracing::info!(version, "configuration in force");
             }
             Err(error) => tracing::error!(version, error, "configuration cannot be applied"),
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -46,6 +46,9 @@
 /// Timeout for the program journal, as a fraction of the time remaining until the deadline.
 const JOURNAL_SHARE: f64 = 0.5;
 
+/// Assumed timeout of a request that names none, before its route is known.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Guard that counts a request as in flight until it is dropped.
 struct InFlight(Arc<Entry>);
 
@@ -234,7 +237,8 @@
         head: request::Parts,
         body: Incoming,
     ) -> Result<Answered, Error> {
-        let Some(table) = self.entry.table() else {
+        let remaining = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let Some(table) = self.entry.await_start(&metadata.id, remaining).await else {
             return Err(
                 Refusal::retryable(Kind::Unavailable, RETRY_AFTER, "no configuration yet").into()
             );
