--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -60,7 +60,8 @@
 const MAX_QUEUED_FRAMES: usize = 2_048;
 
 /// Maximum size of the one-way messages that wait for one peer, in bytes; further ones are
-/// dropped, so that a partitioned peer does not exhaust the memory of a small instance.
+/// dropped, so that a partitioned peer does not exhaust the memory of a small instance. A larger
+/// message is sent if no other one waits.
 const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 
 /// Size at which the write buffer takes no further frame, in bytes; bounds its memory when many
@@ -211,7 +212,8 @@
             Queue { sender, queued_bytes }
         });
         let size = outgoing.queued_bytes();
-        if size > 0 && queue.queued_bytes.load(Ordering::Relaxed) + size > MAX_QUEUED_BYTES {
+        let queued = queue.queued_bytes.load(Ordering::Relaxed);
+        if size > 0 && queued > 0 && queued + size > MAX_QUEUED_BYTES {
             return Err(Unreachable);
         }
         queue.queued_bytes.fetch_add(size, Ordering::Relaxed);
