fix(member): a control instance drops its list when a second one relays the same change

A control instance asks all others for the list. The second reply with the same difference did not apply to the list that the first one had brought; the list was dropped and requested in full, and nothing was relayed to entries meanwhile. Change: a relayed list with the digest of the local one confirms it; a difference from another list is ignored, and the next heartbeat names the digest of the list that the instance has (presence::Relay::effect). Messages are unchanged. Conclusion: a list is dropped only if it differs from the relayed one after an update.

--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -124,6 +124,30 @@
     pub servers: Option<Update>,
 }
 
+/// What a [`Relay`] says of the receiver's own list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// The receiver's list is the relayed one.
+    Confirmed,
+    /// This list replaces the receiver's.
+    Replaced(Vec<Listing>),
+    /// The update is the difference from another list, which the receiver had when it asked. Its own
+    /// one is newer or older, but not wrong.
+    Inapplicable,
+}
+
+impl Relay {
+    /// Compares the relayed list with `current`, the receiver's list with its digest. Several control
+    /// instances may relay the same change, so that it was applied before.
+    pub fn effect(self, current: Option<(u64, &[Listing])>) -> Effect {
+        if current.is_some_and(|(digest, _)| digest == self.digest) {
+            return Effect::Confirmed;
+        }
+        let servers = self.servers.and_then(|servers| servers.apply(current));
+        servers.map_or(Effect::Inapplicable, Effect::Replaced)
+    }
+}
+
 /// Content of a backend server list, either complete or relative to an earlier list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Update {
--- a/crates/protocol/tests/presence.rs
+++ b/crates/protocol/tests/presence.rs
@@ -1,7 +1,7 @@
 //! Tests of the backend server list and the roster that control instances relay.
 
 use coordination::placement::Listing;
-use protocol::presence::{Entry, Roster, Update};
+use protocol::presence::{Effect, Entry, Relay, Roster, Update};
 
 fn listing(id: u32, is_draining: bool) -> Listing {
     Listing {
@@ -55,6 +55,23 @@
     assert_eq!(delta.apply(None), None);
 }
 
+#[test]
+fn list_is_dropped_when_a_second_instance_relays_the_same_change() {
+    let old = vec![listing(1, false), listing(2, false)];
+    let new = vec![listing(1, false), listing(2, true)];
+    let newest = vec![listing(1, false)];
+    let relay = |digest, servers| Relay { digest, age_ms: 5, servers: Some(servers) };
+    let change = relay(8, Update::delta(7, &old, &new));
+    assert_eq!(change.clone().effect(Some((7, &old))), Effect::Replaced(new.clone()));
+    assert_eq!(change.clone().effect(Some((8, &new))), Effect::Confirmed);
+    assert_eq!(relay(8, Update::Full(new.clone())).effect(Some((8, &new))), Effect::Confirmed);
+    assert_eq!(change.clone().effect(Some((9, &newest))), Effect::Inapplicable);
+    assert_eq!(change.effect(None), Effect::Inapplicable);
+    let unchanged = Relay { digest: 8, age_ms: 5, servers: None };
+    assert_eq!(unchanged.clone().effect(Some((8, &new))), Effect::Confirmed);
+    assert_eq!(unchanged.effect(Some((7, &old))), Effect::Inapplicable);
+}
+
 #[test]
 fn callers_get_entries_of_their_failure_domain_if_it_has_two() {
     let entry = |domain: &str, address: &str| Entry {
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -12,7 +12,7 @@
 use coordination::placement::{self, Listing};
 use coordination::routing;
 use coordination::versions::History;
-use protocol::presence::{RateLimit, Relay, Update};
+use protocol::presence::{Effect, RateLimit, Relay, Update};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -150,26 +150,27 @@
         if self.list.as_ref().is_some_and(|snapshot| snapshot.read_at >= read_at) {
             return;
         }
-        let Some(servers) = relayed.servers else {
-            if let Some(snapshot) =
-                self.list.as_mut().filter(|snapshot| snapshot.digest == relayed.digest)
-            {
-                snapshot.read_at = read_at;
-            }
-            return;
-        };
         let base =
             self.list.as_ref().map(|snapshot| (snapshot.digest, snapshot.servers.as_slice()));
-        let applied = servers.apply(base).map(|servers| Snapshot::new(servers, read_at));
-        match applied.filter(|snapshot| snapshot.digest == relayed.digest) {
-            Some(snapshot) => self.replace(snapshot, now),
-            // Without a local list, the next reply contains the complete list.
-            None => {
-                tracing::warn!(
-                    digest = relayed.digest,
-                    "difference of the relayed list does not apply to the local list"
-                );
-                self.list = None;
+        let (digest, base_digest) = (relayed.digest, base.map(|(digest, _)| digest));
+        match relayed.effect(base) {
+            Effect::Confirmed => {
+                if let Some(snapshot) = &mut self.list {
+                    snapshot.read_at = read_at;
+                }
+            }
+            Effect::Replaced(servers) => {
+                let snapshot = Snapshot::new(servers, read_at);
+                if snapshot.digest == digest {
+                    self.replace(snapshot, now);
+                } else {
+                    // Without a local list, the next reply contains the complete list.
+                    tracing::warn!(digest, ?base_digest, "relayed list has another digest");
+                    self.list = None;
+                }
+            }
+            Effect::Inapplicable => {
+                tracing::debug!(digest, ?base_digest, "relayed difference is from another list");
             }
         }
     }
