--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -403,7 +403,7 @@
             fleet.begin(0, id);
             fleet.finish(0, id, Outcome::Failed);
         },
-        |fleet, id| drop(fleet.announce_leaving(id)),
+        |fleet, id| assert!(fleet.announce_leaving(id).is_some()),
     ];
     for hinder in hinder {
         let mut entries = [tools("a", 25), tools("b", 25)];
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -278,7 +278,8 @@
     pub in_flight: Vec<u32>,
     /// Newest observations of the other entries of backend servers' rate limits, for entries.
     pub rate_limits: Vec<RateLimit>,
-    /// The ready entries, for entries; `None` if the receiver's roster is up to date.
+    /// The ready entries, for instances that serve the directory; `None` if the receiver's roster is up
+    /// to date.
     pub roster: Option<Roster>,
     /// Software versions of the services in the list; filled only with a complete list. Earlier
     /// builds neither send nor read it.
@@ -292,6 +293,10 @@
     /// read it.
     #[serde(deserialize_with = "tail")]
     pub serves_parts: bool,
+    /// Whether the control instance compared the receiver's roster with its own. Earlier builds,
+    /// which do so for entries only, neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub compares_roster: bool,
 }
 
 /// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -206,6 +206,7 @@
         versions: Vec::new(),
         quarantine: quarantine::Report::default(),
         serves_parts: false,
+        compares_roster: false,
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -248,7 +249,12 @@
     let extended = presence::Reply { versions, ..reply.clone() };
     let relayed = presence::Reply { quarantine: quarantine(), ..extended.clone() };
     let serving = presence::Reply { serves_parts: true, ..relayed.clone() };
-    check("response-heartbeat-serves-parts", &Response::HeartbeatReply(Box::new(serving)));
+    let comparing = presence::Reply { compares_roster: true, ..serving.clone() };
+    check("response-heartbeat-compares-roster", &Response::HeartbeatReply(Box::new(comparing)));
+    check_without_tail(
+        "response-heartbeat-serves-parts",
+        &Response::HeartbeatReply(Box::new(serving)),
+    );
     check_without_tail(
         "response-heartbeat-quarantine",
         &Response::HeartbeatReply(Box::new(relayed)),
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -83,9 +83,13 @@
     /// is stale, or its address is no longer known.
     fn choose(&mut self, member: &Member, addresses: &[String]) -> Option<String> {
         let timeout = member.settings.heartbeat_interval * RELAY_MISSED_HEARTBEATS;
-        let (relayed_at, is_stale) = {
-            let view = member.servers.borrow();
-            (view.relayed_at, view.is_stale())
+        let (relayed_at, is_stale) = match member.settings.role {
+            // Only the roster is relayed to instances that use no backend servers.
+            Role::Programs => (member.view.borrow().compared_at, false),
+            Role::Entry | Role::Control => {
+                let view = member.servers.borrow();
+                (view.relayed_at, view.is_stale())
+            }
         };
         // A new source gets the full timeout before it is replaced.
         let last_contact = if is_stale { self.chosen_at } else { relayed_at.max(self.chosen_at) };
@@ -170,6 +174,7 @@
         // Other control instances may have sent it before.
         let _ = member.receive_registry(registry, from, millis(sent_at.elapsed()));
     }
+    let is_relayed = reply.list.is_some();
     if let Some(relayed) = reply.list {
         member.servers.send_modify(|view| {
             view.relayed_at = Some(Instant::now());
@@ -189,8 +194,14 @@
         });
     }
     member.extend_quarantine(from, &reply.quarantine);
+    // Earlier builds compare the roster of an entry whenever they relay the list to it.
+    let is_entry = member.settings.role == Role::Entry;
+    let compares_roster = reply.compares_roster || (is_relayed && is_entry);
     member.view.send_modify(|view| {
         view.last_contact = Some(Instant::now());
+        if compares_roster {
+            view.compared_at = Some(Instant::now());
+        }
         if let Some(roster) = reply.roster {
             view.roster = Arc::new(roster);
         }
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -49,6 +49,10 @@
 /// Pause between two attempts while no instance leads. An election takes several of these.
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
 
+/// Age above which a roster is no longer used to direct callers: the time in which an instance
+/// turns to another control instance, and some heartbeats. Other instances then have a newer one.
+const ROSTER_MAX_AGE: Duration = Duration::from_millis(1_500);
+
 /// View that an instance has of the others.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct View {
@@ -62,6 +66,8 @@
     pub(crate) last_contact: Option<Instant>,
     /// Entries that are ready for callers.
     pub(crate) roster: Arc<Roster>,
+    /// Time at which a control instance last compared the roster with its own.
+    pub(crate) compared_at: Option<Instant>,
 }
 
 /// A running instance.
@@ -254,14 +260,19 @@
         }
     }
 
-    /// Returns the addresses for callers in `failure_domain`, as known to this instance.
+    /// Returns the addresses for callers in `failure_domain`, as known to this instance; none if no
+    /// control instance has confirmed them lately.
     pub fn caller_addresses(&self, failure_domain: &str) -> Vec<String> {
         let roster = match self.settings.role {
             Role::Control => self.presence.lock().ok().and_then(|presence| presence.roster(0)),
             Role::Entry | Role::Programs => None,
         };
-        let roster = roster.map_or_else(|| self.view.borrow().roster.clone(), Arc::new);
-        roster.near(failure_domain)
+        let roster = roster.map(Arc::new).or_else(|| {
+            let view = self.view.borrow();
+            let is_recent = view.compared_at.is_some_and(|at| at.elapsed() < ROSTER_MAX_AGE);
+            is_recent.then(|| view.roster.clone())
+        });
+        roster.map(|roster| roster.near(failure_domain)).unwrap_or_default()
     }
 
     /// Returns the addresses of other entries to which this one can forward requests.
@@ -415,6 +426,7 @@
             Role::Programs => presence.candidates(Role::Programs, &registry),
             Role::Entry | Role::Control => Vec::new(),
         };
+        let compares_roster = wants_relay && role != Role::Control;
         let serves_callers = is_relayed && role == Role::Entry;
         let servers = snapshot.filter(|_| serves_callers).map(|snapshot| snapshot.servers);
         let control = presence.addresses(Role::Control);
@@ -448,10 +460,11 @@
             list,
             in_flight: servers.map(|list| presence.loads(&name, &list)).unwrap_or_default(),
             rate_limits: if serves_callers { presence.rate_limits(&name) } else { Vec::new() },
-            roster: if serves_callers { presence.roster(roster) } else { None },
+            roster: if compares_roster { presence.roster(roster) } else { None },
             versions,
             quarantine,
             serves_parts: true,
+            compares_roster,
         };
         Response::HeartbeatReply(Box::new(reply))
     }
