--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -377,6 +377,9 @@
         }
         let uptime = self.now().saturating_sub(self.started_at);
         let limit = waiting::start_limit(uptime, millis(remaining));
+        if limit == 0 {
+            return self.table();
+        }
         let started = Instant::now();
         let (mut table, mut list_read_at) = (self.table.subscribe(), self.list_read_at.subscribe());
         let start = async {
