fix(placement): a hot object fills its server while others are idle

All instances send an object's requests to the same first server, so what they haven't heard of each other's adds up there; three quarters of the slots left too little room for that. Change: a server is passed over for an object from half of its slots on (placement.object_percent). The bound is as it was. Conclusion: load goes before the object.

--- a/crates/coordination/src/placement/choice.rs
+++ b/crates/coordination/src/placement/choice.rs
@@ -158,7 +158,7 @@
         let Affinity::Object(object) = affinity else {
             return None;
         };
-        let is_crowded = |s: &Server| s.load_percent() >= self.settings.spill_percent;
+        let is_crowded = |s: &Server| s.load_percent() >= self.settings.object_percent;
         let open = available.iter().copied().filter(|server| !is_crowded(server));
         open.max_by_key(|server| routing::mix(object, server.digest))
     }
--- a/crates/coordination/src/placement/settings.rs
+++ b/crates/coordination/src/placement/settings.rs
@@ -23,6 +23,10 @@
     /// than the two chosen ones, and servers of other failure domains, are considered. Below it
     /// an engine's steps take little longer than for a single request.
     pub spill_percent: u32,
+    /// Load from which a server is passed over for an object, in percent of the slots. It is lower than
+    /// `spill_percent`, since all instances send the requests about an object to the same server,
+    /// and hear of each other's some time later.
+    pub object_percent: u32,
     /// By how much a server of another failure domain must be less loaded than a local one, in
     /// percent of the slots. The margin allows for the age of the reported loads.
     pub spill_margin_percent: u32,
@@ -43,6 +47,7 @@
             full_percent: 125,
             reserve_percent: 140,
             spill_percent: 75,
+            object_percent: 50,
             spill_margin_percent: 25,
             suspend_ms: 250,
             suspend_most_ms: 2_000,
