--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -41,7 +41,7 @@
 
     def __init__(self, name, role, ip, zone):
         self.name, self.role, self.ip, self.zone = name, role, ip, zone
-        self.child, self.first_start, self.started_at = None, True, 0.0
+        self.child, self.first_start = None, True
 
     @property
     def runs(self):
@@ -180,7 +180,7 @@
         node.child = subprocess.Popen(self.commands[node.role], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log,
                                       stderr=log, env={**keep, "BUCKTHORNSHELF_CONFIG": path})
         log.close()
-        node.first_start, node.started_at = False, time.monotonic()
+        node.first_start = False
         self.record("start", node.name, "pid", node.child.pid)
 
     def signal(self, node, number):
@@ -348,6 +348,7 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("TROUBLE", int(trouble))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     deployment = Deployment(record, entries, memory_mb)
 
     async def main():
@@ -361,7 +362,7 @@
 
     try:
         broken = asyncio.run(main())
-    except (Unable, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # whatever the reason, the rule was not judged
         record("could not run:", repr(error))
         print("could not run:", repr(error))
         raise SystemExit(2)
