feat(protocol): types of organisations, their keys and limits

Cause: a configuration with organisations is not decoded, and several parts are built on that side by side. Conclusion: the interface of the parts; the behaviour follows with each part.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`backend`]: request and response bodies for backend servers
 //! - [`entries`]: lists with entries that cannot be decoded
 //! - [`answer`]: the HTTP status and body of each kind of error
+//! - [`organisations`]: whose keys callers present, and their limits
 //! - [`routes`]: routes and services as versioned configuration
 //! - [`transfer`]: the registry in compressed parts
 //! - [`settings`]: the settings file and its validation
@@ -13,6 +14,7 @@
 pub mod api;
 pub mod backend;
 pub mod entries;
+pub mod organisations;
 pub mod presence;
 pub mod routes;
 pub mod settings;
--- a/crates/protocol/src/routes.rs
+++ b/crates/protocol/src/routes.rs
@@ -3,6 +3,7 @@
 //! Operators always submit a complete [`Config`]. [`Table::new`] validates it and indexes it
 //! for lookups; an invalid configuration is rejected with an [`Error`] that names the fault.
 
+use crate::organisations::Organisation;
 use state::collections::Map;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
     pub services: Vec<Service>,
     /// Limits on the requests of callers.
     pub limits: Limits,
+    /// Organisations whose keys callers present; empty if no keys are checked.
+    pub organisations: Vec<Organisation>,
 }
 
 /// Whether a request may be executed more than once.
@@ -61,6 +64,8 @@
     pub retention: Duration,
     /// Whether requests of a session prefer the same backend server.
     pub is_sticky: bool,
+    /// Whether requests need no key of an organisation.
+    pub is_public: bool,
 }
 
 /// A service that receives a share of a route's requests.
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -21,6 +21,7 @@
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use protocol::organisations::Organisation;
 use protocol::routes::{Route, Table};
 use rand::Rng;
 use state::error::Kind;
@@ -107,6 +108,7 @@
         is_sent: AtomicBool::new(false),
         versions: Versions::Any,
         source,
+        organisation: None,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle_until_stopped(&metadata, head, body).await,
@@ -146,6 +148,9 @@
     /// Software versions of the backend servers that the request may be sent to.
     pub(super) versions: Versions,
     pub(super) source: Source,
+    /// Organisation whose key the caller presented; `None` if no keys are checked.
+    #[expect(dead_code, reason = "read by the key check and the usage caps, which follow")]
+    pub(super) organisation: Option<Arc<Organisation>>,
 }
 
 /// Who sent a request to this entry.
