feat(placement): servers' paces, shared prompts, and when leaving the failure domain pays

Change: entries exchange paces with heartbeats (one byte a server, tail fields); weighted rendezvous hashing by pace and by who keeps the shared part; crossing::Share in place of spill_margin_percent; counter and log field for crossings.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod consensus;
 pub mod content;
+pub mod crossing;
 pub mod entry;
 pub mod lease;
 pub mod limit;
 pub mod membership;
 pub mod offers;
+pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod reach;
--- a/crates/coordination/src/placement/choice.rs
+++ b/crates/coordination/src/placement/choice.rs
@@ -1,6 +1,8 @@
 //! Choice of a backend server for one request.
 
 use crate::Millis;
+use crate::crossing::{self, Offer};
+use crate::placement::preference::Preference;
 use crate::placement::{Fleet, Listing, Server};
 use crate::routing;
 
@@ -29,6 +31,8 @@
     pub service: &'a str,
     /// Which servers are faster for the request.
     pub affinity: Affinity<'a>,
+    /// Digest of the parts of the request's prompt that other requests share; `None` if there are none.
+    pub shared_prompt: Option<u64>,
     /// Identifier of the server that executed the session's last request.
     pub last_server: Option<&'a str>,
     /// Whether the request begins a program.
@@ -134,20 +138,40 @@
         let is_local = |server: &&Server| server.listed.failure_domain == self.failure_domain;
         let (local, remote): (Vec<&Server>, Vec<&Server>) =
             available.into_iter().partition(is_local);
-        let (local, remote) =
-            (self.best(&local, query.affinity), self.best(&remote, query.affinity));
+        let (local, remote) = (self.best(&local, query), self.best(&remote, query));
         let server = match (local, remote) {
             (Some(local), Some(remote)) => {
-                let margin = self.settings.spill_margin_percent;
-                let is_crowded = local.load_percent() >= self.settings.spill_percent;
-                let is_better = remote.load_percent() + margin <= local.load_percent();
-                if is_crowded && is_better { Some(remote) } else { Some(local) }
+                if self.leaves(local, remote, query) {
+                    Some(remote)
+                } else {
+                    Some(local)
+                }
             }
             (local, remote) => local.or(remote),
         };
         server.map(|server| &server.listed)
     }
 
+    /// Whether a request leaves the failure domain for the server `remote`. Requests without a session are short and leave as soon
+    /// as that pays.
+    fn leaves(&self, local: &Server, remote: &Server, query: &Query<'_>) -> bool {
+        match query.affinity {
+            Affinity::Session(session) => {
+                let is_guest_welcome = remote.load_percent() < self.settings.crossing.guest_percent;
+                let share = self.crossing.get(query.service).copied().unwrap_or_default();
+                let session = routing::digest(session.as_bytes());
+                is_guest_welcome && share.includes(session, &self.failure_domain)
+            }
+            Affinity::None | Affinity::Object(_) => {
+                let offer = |server: &Server| Offer {
+                    slowness: server.pace.ratio(local.pace.faster(remote.pace)),
+                    load_percent: server.load_percent(),
+                };
+                crossing::pays(&self.settings.crossing, &offer(local), &offer(remote))
+            }
+        }
+    }
+
     /// Chooses the server for a request about an object: the first one in the object's order that is
     /// not crowded. `None` without an object, or if all are crowded.
     fn for_object<'a>(
@@ -164,8 +188,8 @@
     }
 
     /// Chooses among servers that are all local or all remote.
-    fn best<'a>(&self, candidates: &[&'a Server], affinity: Affinity<'_>) -> Option<&'a Server> {
-        let key = match affinity {
+    fn best<'a>(&self, candidates: &[&'a Server], query: &Query<'_>) -> Option<&'a Server> {
+        let key = match query.affinity {
             Affinity::None => {
                 let key = routing::digest(self.failure_domain.as_bytes());
                 let load = |s: &&Server| (s.load(), routing::mix(key, s.digest));
@@ -177,21 +201,26 @@
                 return candidates.iter().copied().min_by_key(load);
             }
         };
+        let preference = Preference::new(&self.settings, candidates, query.shared_prompt);
         let mut best_two = [None; 2];
         for server in candidates.iter().copied() {
-            let scored = Some((routing::mix(key, server.digest), server));
-            let score = |entry: Option<(u64, &Server)>| entry.map(|(score, _)| score);
+            let scored = Some((preference.score(key, server), server));
+            let score = |entry: Option<(f64, &Server)>| entry.map(|(score, _)| score);
             if score(scored) > score(best_two[0]) {
                 best_two = [scored, best_two[0]];
             } else if score(scored) > score(best_two[1]) {
                 best_two[1] = scored;
             }
         }
+        let cost = |server: &Server| preference.cost(server);
+        let by_cost = |a: &&Server, b: &&Server| cost(a).total_cmp(&cost(b));
         let best_two = best_two.into_iter().flatten().map(|(_, server)| server);
-        let better = best_two.min_by_key(|server| server.load_percent())?;
+        let better = best_two.min_by(by_cost)?;
         if better.load_percent() < self.settings.spill_percent {
             return Some(better);
         }
-        candidates.iter().copied().min_by_key(|s| (s.load_percent(), routing::mix(key, s.digest)))
+        let by_hash = |server: &Server| routing::mix(key, server.digest);
+        let ordered = |a: &&Server, b: &&Server| by_cost(a, b).then(by_hash(a).cmp(&by_hash(b)));
+        candidates.iter().copied().min_by(ordered)
     }
 }
--- a/crates/coordination/src/placement/fleet.rs
+++ b/crates/coordination/src/placement/fleet.rs
@@ -1,13 +1,33 @@
 //! One instance's view of the backend servers.
 
 use crate::Millis;
+use crate::crossing::{self, Offer};
 use crate::limit::Limit;
 use crate::limit::{self, Observation, Sharers};
+use crate::pace::{Observations, Step};
 use crate::placement::{Change, Listing, Outcome, Server, Settings, split_duplicates};
 use crate::routing;
 use crate::versions::{History, Settled};
 use state::collections::Map;
 
+/// Servers of one service in one failure domain.
+#[derive(Debug, Default)]
+struct Domain {
+    slots: u32,
+    load: u32,
+    paces: Vec<Step>,
+}
+
+impl Domain {
+    fn offer(&self, fastest: Step) -> Offer {
+        let slowness: f64 = self.paces.iter().map(|pace| pace.ratio(fastest)).sum();
+        Offer {
+            slowness: slowness / self.paces.len().max(1) as f64,
+            load_percent: self.load.saturating_mul(100) / self.slots.max(1),
+        }
+    }
+}
+
 /// One instance's view of the listed backend servers.
 #[derive(Debug, Clone)]
 pub struct Fleet {
@@ -18,6 +38,10 @@
     versions: History,
     listed_at: Option<Millis>,
     sharers: Sharers,
+    /// Paces of this instance's streams, to be reported.
+    observed_paces: Observations,
+    /// Share of the sessions that leave the failure domain, by service.
+    pub(super) crossing: Map<String, crossing::Share>,
     /// Time of the last report of the other instances' loads.
     pub(super) loads_at: Millis,
 }
@@ -33,6 +57,8 @@
             versions: History::default(),
             listed_at: None,
             sharers: Sharers::new(address),
+            observed_paces: Observations::default(),
+            crossing: Map::default(),
             loads_at: 0,
         }
     }
@@ -69,6 +95,7 @@
                     listed,
                     outstanding: 0,
                     remote_outstanding: 0,
+                    pace: Step::default(),
                     limit: Limit::default(),
                     announced_leaving: false,
                     has_reported_invalid: false,
@@ -110,6 +137,64 @@
                 server.remote_outstanding = *load;
             }
         }
+        self.adjust_crossing(now);
+    }
+
+    /// Adjusts the share of the sessions of each service that leave the failure domain.
+    fn adjust_crossing(&mut self, now: Millis) {
+        let services: Vec<String> = self.by_service.keys().cloned().collect();
+        self.crossing.retain(|service, _| self.by_service.contains_key(service));
+        for service in services {
+            let Some((home, elsewhere)) = self.offers(now, &service) else {
+                continue;
+            };
+            let share = self.crossing.entry(service).or_default();
+            share.adjust(now, &self.settings.crossing, &home, &elsewhere);
+        }
+    }
+
+    /// What the servers of this failure domain and those of the least loaded other one offer; `None` if there are none at either.
+    fn offers(&self, now: Millis, service: &str) -> Option<(Offer, Offer)> {
+        let mut domains: Map<&str, Domain> = Map::default();
+        let mut fastest: Option<Step> = None;
+        for server in self.of_service(service).filter(|server| server.is_available(now)) {
+            let domain = domains.entry(server.listed.failure_domain.as_str()).or_default();
+            domain.slots += server.listed.slots;
+            domain.load += server.load();
+            domain.paces.push(server.pace);
+            if server.pace.is_known() {
+                fastest = Some(fastest.map_or(server.pace, |fastest| fastest.faster(server.pace)));
+            }
+        }
+        let fastest = fastest.unwrap_or_default();
+        let home = domains.remove(self.failure_domain.as_str())?.offer(fastest);
+        let others = domains.values().map(|domain| domain.offer(fastest));
+        let elsewhere = others.min_by_key(|offer| offer.load_percent)?;
+        Some((home, elsewhere))
+    }
+
+    /// Share of the sessions of a service that leave the failure domain.
+    pub fn crossing_share(&self, service: &str) -> f64 {
+        self.crossing.get(service).map_or(0.0, crossing::Share::value)
+    }
+
+    /// Replaces the paces of the servers, as all instances observe them.
+    pub fn set_paces(&mut self, paces: &[(String, Step)]) {
+        for (id, pace) in paces {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.pace = *pace;
+            }
+        }
+    }
+
+    /// Records that a stream on the server `id` had `intervals` intervals between its events in `micros` microseconds.
+    pub fn observe_pace(&mut self, id: &str, micros: u64, intervals: u64) {
+        self.observed_paces.record(id, micros, intervals);
+    }
+
+    /// Takes the paces that were not reported yet, to be sent to the other instances.
+    pub fn take_paces(&mut self) -> Vec<(String, Step)> {
+        self.observed_paces.take()
     }
 
     /// Requests that this instance has outstanding on each server, to be sent to the others.
--- a/crates/coordination/src/placement/mod.rs
+++ b/crates/coordination/src/placement/mod.rs
@@ -26,6 +26,7 @@
 mod choice;
 mod fleet;
 mod listing;
+mod preference;
 mod server;
 mod settings;
 
--- a/crates/coordination/src/placement/server.rs
+++ b/crates/coordination/src/placement/server.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::limit::Limit;
+use crate::pace::Step;
 use crate::placement::Listing;
 
 /// How an attempt on a backend server ended.
@@ -29,6 +30,8 @@
     pub outstanding: u32,
     /// Requests that the other instances have outstanding there, by their last reports.
     pub remote_outstanding: u32,
+    /// Time that it takes for one event of a stream, as all instances observe it.
+    pub pace: Step,
     /// Rate limit that it announces.
     pub limit: Limit,
     /// Whether it said in a response that it is about to stop.
--- a/crates/coordination/src/placement/settings.rs
+++ b/crates/coordination/src/placement/settings.rs
@@ -1,6 +1,7 @@
 //! Thresholds of the choice of backend servers.
 
 use crate::Millis;
+use crate::crossing;
 use serde::Deserialize;
 
 /// Thresholds of the placement decision and durations of suspensions.
@@ -20,16 +21,22 @@
     /// root, so servers with few slots need a larger part of them as a reserve.
     pub reserve_percent: u32,
     /// Load from which a server counts as crowded, in percent of the slots: then more servers
-    /// than the two chosen ones, and servers of other failure domains, are considered. Below it
+    /// than the two chosen ones are considered. Below it
     /// an engine's steps take little longer than for a single request.
     pub spill_percent: u32,
     /// Load from which a server is passed over for an object, in percent of the slots. It is lower than
     /// `spill_percent`, since all instances send the requests about an object to the same server,
     /// and hear of each other's some time later.
     pub object_percent: u32,
-    /// By how much a server of another failure domain must be less loaded than a local one, in
-    /// percent of the slots. The margin allows for the age of the reported loads.
-    pub spill_margin_percent: u32,
+    /// Part of the servers of a failure domain that are to keep a shared part of prompts, in percent. They hold its most
+    /// requested parts in memory, and are enough for a burst of requests that share it.
+    pub holder_percent: u32,
+    /// How much likelier a session is sent to a server that is to keep the shared parts of its prompt.
+    pub holder_weight: u32,
+    /// Exponent with which a server's share of the sessions falls with its time per event.
+    pub pace_exponent: i32,
+    /// When requests leave their failure domain.
+    pub crossing: crossing::Settings,
     /// First suspension of a server that could not be reached, in milliseconds; the time of a
     /// few connection attempts.
     pub suspend_ms: Millis,
@@ -48,7 +55,10 @@
             reserve_percent: 140,
             spill_percent: 75,
             object_percent: 50,
-            spill_margin_percent: 25,
+            holder_percent: 33,
+            holder_weight: 4,
+            pace_exponent: 4,
+            crossing: crossing::Settings::default(),
             suspend_ms: 250,
             suspend_most_ms: 2_000,
             full_ms: 50,
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -3,14 +3,17 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
 
 mod consensus;
+mod crossing;
 mod entry;
 mod faults;
 mod lease;
 mod limit;
 mod membership;
 mod offers;
+mod pace;
 mod placement;
 mod policy;
+mod preference;
 mod quarantine;
 mod reach;
 mod retry;
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -6,6 +6,7 @@
 
 use coordination::consensus::Id;
 use coordination::membership::Candidate;
+use coordination::pace::Step;
 use coordination::placement::Listing;
 use coordination::quarantine::Report;
 use coordination::versions::Settled;
@@ -99,6 +100,10 @@
     /// Earlier builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub fetches_registry: bool,
+    /// Paces of backend servers' streams that the sender observed since its last heartbeat, by id. Earlier
+    /// builds neither send nor read them.
+    #[serde(deserialize_with = "tail")]
+    pub paces: Vec<(String, Step)>,
 }
 
 /// Rate limit of a backend server as an instance observed it.
@@ -297,6 +302,10 @@
     /// which do so for entries only, neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub compares_roster: bool,
+    /// Paces of the listed backend servers, in the order of the list, for entries; empty if none is known. Earlier
+    /// builds neither send nor read them.
+    #[serde(deserialize_with = "tail")]
+    pub paces: Vec<Step>,
 }
 
 /// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -6,6 +6,7 @@
 use coordination::consensus::{Entry, HardState, Members, Message, Meta, Payload, Peer};
 use coordination::content::{self, Content};
 use coordination::membership::Candidate;
+use coordination::pace::Step;
 use coordination::placement::Listing;
 use coordination::quarantine;
 use coordination::versions::Settled;
@@ -163,12 +164,15 @@
         build: presence::Build::default(),
         quarantine: quarantine::Report::default(),
         fetches_registry: false,
+        paces: Vec::new(),
     };
     let build = presence::Build { version: (0, 2, 0), format: 1 };
     let announced = Heartbeat { build, ..heartbeat.clone() };
     let reported = Heartbeat { quarantine: quarantine(), ..announced.clone() };
     let fetching = Heartbeat { fetches_registry: true, ..reported.clone() };
-    check("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
+    let paced = Heartbeat { paces: vec![("s1".into(), Step(42))], ..fetching.clone() };
+    check("request-heartbeat-paces", &Request::Heartbeat(Box::new(paced)));
+    check_without_tail("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
     check_without_tail("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
     check_without_tail("request-heartbeat-build", &Request::Heartbeat(Box::new(announced)));
     check_without_tail("request-heartbeat", &Request::Heartbeat(Box::new(heartbeat)));
@@ -207,6 +211,7 @@
         quarantine: quarantine::Report::default(),
         serves_parts: false,
         compares_roster: false,
+        paces: Vec::new(),
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -250,7 +255,12 @@
     let relayed = presence::Reply { quarantine: quarantine(), ..extended.clone() };
     let serving = presence::Reply { serves_parts: true, ..relayed.clone() };
     let comparing = presence::Reply { compares_roster: true, ..serving.clone() };
-    check("response-heartbeat-compares-roster", &Response::HeartbeatReply(Box::new(comparing)));
+    let paced = presence::Reply { paces: vec![Step(42)], ..comparing.clone() };
+    check("response-heartbeat-paces", &Response::HeartbeatReply(Box::new(paced)));
+    check_without_tail(
+        "response-heartbeat-compares-roster",
+        &Response::HeartbeatReply(Box::new(comparing)),
+    );
     check_without_tail(
         "response-heartbeat-serves-parts",
         &Response::HeartbeatReply(Box::new(serving)),
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -46,6 +46,15 @@
         attempt
     }
 
+    /// Records the pace of the server's stream: the time of `intervals` intervals between its events.
+    pub(crate) fn observe_pace(&self, micros: u64, intervals: u64) {
+        if !self.is_forwarded
+            && let Ok(mut fleet) = self.entry.fleet.lock()
+        {
+            fleet.observe_pace(&self.server.id, micros, intervals);
+        }
+    }
+
     /// Ends the attempt with an outcome.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -26,6 +26,8 @@
     pub session: Option<String>,
     /// Digest of the name of the object that the request is about.
     pub object: Option<u64>,
+    /// Digest of the parts of the prompt that other requests share; `None` if there are none.
+    pub shared_prompt: Option<u64>,
     /// Tokens to reserve from the program's budget.
     pub budget: Option<Budget>,
     /// Id of the turn that this request continues from.
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -257,16 +257,17 @@
         self.member.clock.now()
     }
 
-    /// Returns what this instance reports of its use of the backend servers.
+    /// Returns what this instance reports of its use of the backend servers. Paces are reported once.
     fn usage(&self) -> Option<Usage> {
         let now = self.now();
-        let fleet = self.fleet.lock().ok()?;
+        let mut fleet = self.fleet.lock().ok()?;
         let rate_limit = |(server, seen): (String, Observation)| {
             let age_ms = now.saturating_sub(seen.at);
             RateLimit { server, per_second: seen.per_second, age_ms }
         };
         let rate_limits = fleet.local_limits(now).into_iter().map(rate_limit).collect();
-        Some(Usage { in_flight: fleet.local_loads(), rate_limits })
+        let paces = fleet.take_paces();
+        Some(Usage { in_flight: fleet.local_loads(), rate_limits, paces })
     }
 
     /// Returns the load of a backend server and its rate limit, as known to this instance.
@@ -457,6 +458,7 @@
                 let now = self.now();
                 fleet.extend_versions(now, &view.versions.settled(now));
                 fleet.set_remote_loads(now, &view.loads);
+                fleet.set_paces(&view.paces);
                 self.apply_relayed_limits(&mut fleet, &view);
             }
         }
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) list_reads: Family<Label, Counter>,
     pub(crate) limited_servers: Gauge,
     leaving_servers: Family<Label, Gauge>,
+    crossings: Family<Label, Counter>,
     pub(crate) waiting: Gauge,
 }
 
@@ -80,6 +81,9 @@
         let limited_servers = Gauge::default();
         let help = "Backend servers that announce a rate limit";
         registry.register("limited_servers", help, limited_servers.clone());
+        let crossings = Family::<Label, Counter>::default();
+        let help = "Requests sent to servers of other failure domains, by reason";
+        registry.register("crossings", help, crossings.clone());
         let leaving_servers = Family::<Label, Gauge>::default();
         let help = "Backend servers that leave, by where that was announced";
         registry.register("leaving_servers", help, leaving_servers.clone());
@@ -101,6 +105,7 @@
             list_reads,
             limited_servers,
             leaving_servers,
+            crossings,
             waiting,
         }
     }
@@ -117,6 +122,10 @@
         self.resumptions.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn crossing(&self, reason: &str) {
+        self.crossings.get_or_create(&Label { outcome: reason.to_owned() }).inc();
+    }
+
     pub(crate) fn forwarded(&self, outcome: &str) {
         self.forwarded.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -135,6 +135,8 @@
     pub(crate) draft: Option<Draft>,
     pub(crate) deadline: Instant,
     pub(crate) timer: Pin<Box<Sleep>>,
+    /// Number of events when the first ones had arrived, and the times at which the first and the last ones did.
+    events_between: Option<(u64, Instant, Instant)>,
     recording: Option<Recording>,
     /// How the response is about to end early.
     aborting: Option<Abort>,
@@ -184,6 +186,7 @@
             draft: params.draft,
             deadline: params.deadline,
             timer: Box::pin(tokio::time::sleep_until(params.deadline)),
+            events_between: None,
             recording: None,
             aborting: None,
             server,
@@ -255,7 +258,14 @@
             return Err(format!("the body has more than {RESPONSE_BYTES} bytes"));
         }
         if let Some(events) = &mut self.events {
+            let count_before = events.count;
             events.feed(data).map_err(|excess| excess.to_string())?;
+            if events.count > count_before {
+                let now = Instant::now();
+                let (first_count, first_at) =
+                    self.events_between.map_or((events.count, now), |(count, at, _)| (count, at));
+                self.events_between = Some((first_count, first_at, now));
+            }
             if let Some(turn) = &mut self.turn {
                 turn.tokens = events.count * self.tokens_per_event;
             }
@@ -308,6 +318,13 @@
     /// Returns the connection to the pool after a complete response.
     fn release_connection(&mut self) {
         if let Some(attempt) = self.attempt.take() {
+            if let (Some(events), Some((first_count, first_at, last_at))) =
+                (&self.events, self.events_between)
+            {
+                let micros = last_at.duration_since(first_at).as_micros();
+                let micros = u64::try_from(micros).unwrap_or(u64::MAX);
+                attempt.observe_pace(micros, events.count - first_count);
+            }
             attempt.complete(&self.headers);
         }
     }
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -226,6 +226,7 @@
         let query = Query {
             service: outbound.service,
             affinity: outbound.affinity(),
+            shared_prompt: outbound.metadata.shared_prompt,
             last_server: outbound.last_server,
             is_new,
             attempted,
@@ -363,6 +364,7 @@
                 return AttemptResult::Unavailable;
             };
             let (load, rate_limit) = self.entry.load_and_limit(&id);
+            let crossing = self.crossing(outbound, &attempt.server);
             tracing::info!(
                 request = outbound.metadata.id,
                 server = id,
@@ -371,6 +373,7 @@
                 resumes,
                 object = outbound.metadata.object.map(|object| format!("{object:016x}")),
                 is_last_server = outbound.last_server == Some(id.as_str()),
+                crossing,
                 load,
                 rate_limit = rate_limit.map(|limit| limit.per_second),
                 rate_share = rate_limit.map(|limit| limit.share),
@@ -411,6 +414,25 @@
         }
     }
 
+    /// Why a request leaves the failure domain for `server`, for the log and the metrics; `None` if it doesn't.
+    fn crossing(&self, outbound: &Outbound<'_>, server: &Listing) -> Option<&'static str> {
+        if server.failure_domain == self.entry.settings.failure_domain {
+            return None;
+        }
+        let stays = outbound.last_server == Some(server.id.as_str());
+        let share = || {
+            let fleet = self.entry.fleet.lock();
+            fleet.map_or(0.0, |fleet| fleet.crossing_share(outbound.service))
+        };
+        let reason = match stays {
+            true => "program stays",
+            false if share() > 0.0 => "shorter elsewhere",
+            false => "no room",
+        };
+        self.entry.metrics.crossing(reason);
+        Some(reason)
+    }
+
     /// Examines a loss. A request that goes to another server waits for that, since its content may
     /// then be quarantined.
     async fn examine(&self, outbound: &Outbound<'_>, loss: Loss) {
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -136,6 +136,7 @@
         build: BUILD,
         quarantine,
         fetches_registry: true,
+        paces: usage.paces,
     }
 }
 
@@ -190,6 +191,7 @@
                 tracing::info!(from, is_fresh, versions = ?reply.versions, "versions relayed");
             }
             view.update_loads(digest, &reply.in_flight);
+            view.update_paces(digest, &reply.paces);
             view.rate_limits = Arc::new(reply.rate_limits);
         });
     }
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -413,7 +413,8 @@
             return Response::Unknown;
         };
         let build = heartbeat.build;
-        if presence.record(heartbeat) {
+        let now = self.clock.now();
+        if presence.record(heartbeat, now) {
             tracing::info!(name, ?role, %build, format = build.format, "instance became present");
         }
         let mut programs = presence.addresses(Role::Programs);
@@ -429,6 +430,7 @@
         let compares_roster = wants_relay && role != Role::Control;
         let serves_callers = is_relayed && role == Role::Entry;
         let servers = snapshot.filter(|_| serves_callers).map(|snapshot| snapshot.servers);
+        let paced = servers.clone();
         let control = presence.addresses(Role::Control);
         let sends_registry = !fetches
             && presence.is_registry_due(&name, &registry, |name| {
@@ -465,6 +467,7 @@
             quarantine,
             serves_parts: true,
             compares_roster,
+            paces: paced.map(|list| presence.paces(&list, now)).unwrap_or_default(),
         };
         Response::HeartbeatReply(Box::new(reply))
     }
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -3,7 +3,9 @@
 //! An instance is present while its last heartbeat is recent enough.
 
 use crate::clock::millis;
+use coordination::Millis;
 use coordination::membership::Candidate;
+use coordination::pace::{Averages, Step};
 use coordination::placement::Listing;
 use coordination::routing;
 use protocol::presence::{Entry, Heartbeat, RateLimit, Replica, Role, Roster};
@@ -34,15 +36,18 @@
 pub(crate) struct Tracker {
     timeout: Duration,
     instances: Map<String, Instance>,
+    /// Paces of the backend servers, as all instances observe them.
+    paces: Averages,
 }
 
 impl Tracker {
     pub(crate) fn new(timeout: Duration) -> Self {
-        Self { timeout, instances: Map::default() }
+        Self { timeout, instances: Map::default(), paces: Averages::default() }
     }
 
     /// Records a heartbeat; returns `true` if the instance was absent, or of another build, before.
-    pub(crate) fn record(&mut self, heartbeat: Heartbeat) -> bool {
+    pub(crate) fn record(&mut self, mut heartbeat: Heartbeat, clock: Millis) -> bool {
+        self.paces.extend(clock, &std::mem::take(&mut heartbeat.paces));
         let digest =
             heartbeat.callers.as_ref().map_or(0, |address| routing::digest(address.as_bytes()));
         let build = heartbeat.build;
@@ -180,6 +185,12 @@
         servers.iter().map(|server| sums.get(server.id.as_str()).copied().unwrap_or(0)).collect()
     }
 
+    /// Returns the paces of `servers`; nothing if none is known.
+    pub(crate) fn paces(&self, servers: &[Listing], now: Millis) -> Vec<Step> {
+        let paces: Vec<Step> = servers.iter().map(|s| self.paces.step(now, &s.id)).collect();
+        if paces.iter().any(|step| step.is_known()) { paces } else { Vec::new() }
+    }
+
     /// Returns the newest observations that all entries except `name` reported of backend servers'
     /// rate limits.
     pub(crate) fn rate_limits(&self, name: &str) -> Vec<RateLimit> {
--- a/crates/transport/src/member/servers.rs
+++ b/crates/transport/src/member/servers.rs
@@ -9,6 +9,7 @@
 use crate::gateway::List;
 use crate::member::node::Member;
 use coordination::Millis;
+use coordination::pace::Step;
 use coordination::placement::{self, Listing};
 use coordination::routing;
 use coordination::versions::History;
@@ -62,6 +63,8 @@
     pub(crate) loads: Arc<Vec<(String, u32)>>,
     /// Rate limits that other entries observed, as of `relayed_at`.
     pub(crate) rate_limits: Arc<Vec<RateLimit>>,
+    /// Paces of the servers, by id.
+    pub(crate) paces: Arc<Vec<(String, Step)>>,
     /// Time at which a control instance last relayed the list.
     pub(crate) relayed_at: Option<Instant>,
 }
@@ -73,6 +76,8 @@
     pub(crate) in_flight: Vec<(String, u32)>,
     /// Rate limits that it observed lately.
     pub(crate) rate_limits: Vec<RateLimit>,
+    /// Paces that it observed since the last report.
+    pub(crate) paces: Vec<(String, Step)>,
 }
 
 /// Function that returns what this instance reports.
@@ -140,6 +145,15 @@
         }
     }
 
+    /// Updates the paces of the servers; `steps` has the order of the list with `digest`. Unknown ones stay as they are.
+    pub(crate) fn update_paces(&mut self, digest: u64, steps: &[Step]) {
+        if let Some(snapshot) = self.list.as_ref().filter(|snapshot| snapshot.digest == digest) {
+            let ids = snapshot.servers.iter().map(|server| server.id.clone());
+            let known = ids.zip(steps.iter().copied()).filter(|(_, step)| step.is_known());
+            self.paces = Arc::new(known.collect());
+        }
+    }
+
     /// Applies a list that is relayed at `now`, in reply to a heartbeat sent at `sent_at`, if it was
     /// read later than the local one. It is at most as old as if the reply had been sent at
     /// `sent_at`; when it was sent after that is not known, since the reply may have been delayed.
