feat(coordination): one end of a server is one piece of evidence

Cause: crashes were told apart by the digest of server and request, so that one end of one server counted once for each equal request on it: two equal turns, or three equal calls, were refused for ten minutes after it. Bodies of 64 bytes and more counted without their program, so that one program blocked the equal request of another one. Change: the ends of a server are numbered as each instance knows them; the digest of a crash is that of content and end, with the same type and place in the messages. Known crashes are a union of sets as before; of two equal requests with one end the heavier one counts. Content whose ends are all shared by other content is refused after three of them, and not if the other one weighs more; such a refusal is provisional for a second, in which it may be withdrawn and isn't passed on. The caller is part of all content. Conclusion: evidence is counted by ends; the threshold of two ends stays for content that is lost alone.

--- a/crates/coordination/src/content.rs
+++ b/crates/coordination/src/content.rs
@@ -1,12 +1,11 @@
 //! Identity of a request's content, whatever id it is sent under.
+//!
+//! The caller is part of it: what one program sends says nothing against another one that sends the
+//! same.
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Length from which a body identifies the content by itself, in bytes. Shorter bodies, such as that
-/// of a query without parameters, may be the same for many programs.
-const IDENTIFYING_BYTES: usize = 64;
-
 /// Digest of what a request asks of a backend server.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Content([u8; 16]);
@@ -22,16 +21,16 @@
     pub path: &'a str,
     /// Body as it is sent to a backend server.
     pub body: &'a [u8],
-    /// Program or session of the request.
+    /// Program or session of the request, with its organisation if that is known.
     pub caller: Option<&'a str>,
 }
 
 impl Content {
     /// Identifies the content of a request.
     pub fn of(request: &Request<'_>) -> Self {
-        let caller = request.caller.filter(|_| request.body.len() < IDENTIFYING_BYTES);
         let mut hasher = blake3::Hasher::new();
-        for field in [request.method, request.host, request.path, caller.unwrap_or_default()] {
+        let caller = request.caller.unwrap_or_default();
+        for field in [request.method, request.host, request.path, caller] {
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field.as_bytes());
         }
@@ -40,6 +39,13 @@
         digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
         Self(digest)
     }
+
+    /// The first 64 bits of the digest.
+    pub(crate) fn low_bits(&self) -> u64 {
+        let mut word = [0; 8];
+        word.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(word)
+    }
 }
 
 impl fmt::Display for Content {
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -8,14 +8,23 @@
 //! learns of one twice, late or in another order comes to the same result. So it needs no leader and
 //! no journal, and any instance that is left preserves what is quarantined.
 //!
+//! One end of one server is one piece of evidence against a content, however many requests with it
+//! were lost. The ends of a server are numbered: the first one that an instance doesn't know has the
+//! next number. Instances that observe one end therefore name it alike without asking each other,
+//! and an instance that has missed one counts too few rather than too many.
+//!
 //! Other requests are lost with the same server. A crash weighs more against a request that had no
-//! output yet than against one that had been executing for a while.
+//! output yet than against one that had been executing for a while. Content whose evidence is shared
+//! by other content is quarantined only after a further end, and not if the other one has more
+//! against it. What shares an end may be learned a little later, so a quarantine is provisional at
+//! first: it may be withdrawn and isn't passed on.
 //!
 //! Load pattern: one request that crashes servers and comes again and again through all instances,
-//! among many that are lost with it and then succeed elsewhere.
+//! among many that are lost with it and then succeed elsewhere, some of them equal to each other.
 
 use crate::Millis;
 use crate::content::Content;
+use crate::routing;
 use serde::{Deserialize, Serialize};
 use state::collections::{Map, Set};
 use std::collections::VecDeque;
@@ -29,6 +38,14 @@
 /// Weight of any other crash.
 const WEIGHT: u32 = 2;
 
+/// Number of ends from which content is quarantined although other content shares all of them, unless
+/// that has more against it: callers may lose three servers to one content.
+const MIN_SHARED_ENDS: usize = 3;
+
+/// Time for which a quarantine is provisional, in milliseconds: what is lost with one end is reported
+/// to the control instances at once and reaches all others with their next heartbeats.
+const PROVISIONAL_MS: Millis = 1_000;
+
 /// Time for which a crash counts, in milliseconds: several times as long as callers try again.
 const CRASH_RETENTION_MS: Millis = 120_000;
 
@@ -54,7 +71,8 @@
 pub struct Crash {
     /// The content.
     pub content: Content,
-    /// Digest of the server and the request.
+    /// Digest of the content and the [end](Quarantine::end_of) of the server. Earlier builds used that
+    /// of the server and the request, and tell crashes apart by it as well.
     pub digest: u64,
     /// Whether the server had sent none of the output.
     pub is_before_output: bool,
@@ -62,6 +80,18 @@
     pub age_ms: Millis,
 }
 
+impl Crash {
+    /// Content that was lost just now with an [end](Quarantine::end_of) of a server.
+    pub fn new(content: Content, end: u64, is_before_output: bool) -> Self {
+        Self { content, digest: end ^ content.low_bits(), is_before_output, age_ms: 0 }
+    }
+
+    /// The end of the server with which the content was lost.
+    fn end(&self) -> u64 {
+        self.digest ^ self.content.low_bits()
+    }
+}
+
 /// Content that is refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
@@ -90,15 +120,38 @@
     is_own: bool,
 }
 
+/// A quarantine that an instance knows.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    until: Millis,
+    /// Time until which it may be withdrawn.
+    provisional_until: Millis,
+}
+
+/// What is known against a content.
+#[derive(Debug, Default)]
+struct Evidence {
+    weight: u32,
+    ends: Set<u64>,
+}
+
+impl Evidence {
+    /// Whether all of it is also known against another content.
+    fn is_shared_by(&self, other: &Self) -> bool {
+        self.ends.is_subset(&other.ends)
+    }
+}
+
 /// Crashes and quarantines that an instance knows.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     /// In the order in which this instance learned of them.
     crashes: VecDeque<Known>,
-    /// Digests of the crashes.
-    digests: Set<u64>,
-    /// End of the quarantine, by content.
-    until: Map<Content, Millis>,
+    /// Weights of the crashes, by digest.
+    digests: Map<u64, u32>,
+    refused: Map<Content, Refusal>,
+    /// Number of quarantines that were withdrawn.
+    withdrawn: u64,
 }
 
 impl Quarantine {
@@ -109,29 +162,90 @@
         self.record(now, crash, true)
     }
 
+    /// Returns the end of `server` to which a loss belongs, if the server was known to run at
+    /// `alive_at`: one that is known to be later, or else the next one.
+    pub fn end_of(&self, server: &str, alive_at: Millis) -> u64 {
+        let mut known: Map<u64, Millis> = Map::default();
+        for crash in &self.crashes {
+            let at = known.entry(crash.crash.end()).or_insert(crash.at);
+            *at = crash.at.min(*at);
+        }
+        let mut number = 0_u64;
+        loop {
+            let end = routing::score(server, &number.to_string());
+            match known.get(&end) {
+                Some(at) if *at < alive_at => number += 1,
+                _ => return end,
+            }
+        }
+    }
+
+    /// Number of quarantines that were withdrawn because other content shares the evidence.
+    pub fn withdrawn(&self) -> u64 {
+        self.withdrawn
+    }
+
     /// Records a crash unless it is known; returns whether its content is quarantined by that.
     fn record(&mut self, now: Millis, crash: Crash, is_own: bool) -> bool {
-        let content = crash.content;
-        if crash.age_ms > CRASH_RETENTION_MS || !self.digests.insert(crash.digest) {
+        let (content, end) = (crash.content, crash.end());
+        if crash.age_ms > CRASH_RETENTION_MS || !self.add(now, crash, is_own) {
             return false;
         }
+        let was_refused = self.refused.contains_key(&content);
+        self.decide(now, end);
+        !was_refused && self.refused.contains_key(&content)
+    }
+
+    /// Adds a crash; returns whether that is news.
+    fn add(&mut self, now: Millis, crash: Crash, is_own: bool) -> bool {
+        let weight = weight(&crash);
+        if let Some(known) = self.digests.get_mut(&crash.digest) {
+            if *known >= weight {
+                return false;
+            }
+            // Whichever of two equal requests is reported first, the heavier one counts.
+            *known = weight;
+            let known = self.crashes.iter_mut().find(|known| known.crash.digest == crash.digest);
+            return known.is_some_and(|known| {
+                known.crash.is_before_output = crash.is_before_output;
+                true
+            });
+        }
+        self.digests.insert(crash.digest, weight);
         if self.crashes.len() == MAX_CRASHES
             && let Some(oldest) = self.crashes.pop_front()
         {
             self.digests.remove(&oldest.crash.digest);
         }
         self.crashes.push_back(Known { at: now.saturating_sub(crash.age_ms), crash, is_own });
-        if self.until.contains_key(&content) || self.weight(&content) < MIN_WEIGHT {
-            return false;
-        }
-        self.until.insert(content, now + QUARANTINE_MS);
         true
     }
 
+    /// Decides anew on all content that was lost with `end`.
+    fn decide(&mut self, now: Millis, end: u64) {
+        let mut evidence: Map<Content, Evidence> = Map::default();
+        for crash in self.crashes.iter().map(|known| &known.crash) {
+            let against = evidence.entry(crash.content).or_default();
+            against.weight += weight(crash);
+            against.ends.insert(crash.end());
+        }
+        for (content, against) in evidence.iter().filter(|(_, e)| e.ends.contains(&end)) {
+            let is_guilty = is_guilty(content, against, &evidence);
+            let refusal = self.refused.get(content);
+            if is_guilty && refusal.is_none() {
+                let (until, provisional_until) = (now + QUARANTINE_MS, now + PROVISIONAL_MS);
+                self.refused.insert(*content, Refusal { until, provisional_until });
+            } else if !is_guilty && refusal.is_some_and(|refusal| now < refusal.provisional_until) {
+                self.refused.remove(content);
+                self.withdrawn += 1;
+            }
+        }
+    }
+
     /// Adds what another instance reports; returns the content that is quarantined by that.
     pub fn extend(&mut self, now: Millis, report: &Report) -> Vec<Content> {
         let mut added: Vec<Content> = Vec::new();
-        self.until.retain(|_, until| now < *until);
+        self.refused.retain(|_, refusal| now < refusal.until);
         if *report == Report::default() {
             return added;
         }
@@ -142,8 +256,9 @@
             }
         }
         for Quarantined { content, remaining_ms } in &report.quarantined {
-            if !self.until.contains_key(content) {
-                self.until.insert(*content, now + (*remaining_ms).min(QUARANTINE_MS));
+            if !self.refused.contains_key(content) {
+                let until = now + (*remaining_ms).min(QUARANTINE_MS);
+                self.refused.insert(*content, Refusal { until, provisional_until: now });
                 added.push(*content);
             }
         }
@@ -152,12 +267,12 @@
 
     /// Whether nothing is quarantined.
     pub fn is_empty(&self) -> bool {
-        self.until.is_empty()
+        self.refused.is_empty()
     }
 
     /// Time until the end of a content's quarantine; `None` if it isn't quarantined.
     pub fn remaining(&self, now: Millis, content: &Content) -> Option<Millis> {
-        self.until.get(content)?.checked_sub(now).filter(|remaining| *remaining > 0)
+        self.refused.get(content)?.until.checked_sub(now).filter(|remaining| *remaining > 0)
     }
 
     /// What this instance observed, and what it refuses: for the control instances.
@@ -180,9 +295,10 @@
 
     /// Content that is refused, the latest first.
     fn quarantined(&self, now: Millis) -> Vec<Quarantined> {
-        let quarantined = self.until.iter().map(|(content, until)| Quarantined {
+        let settled = self.refused.iter().filter(|(_, refusal)| refusal.provisional_until <= now);
+        let quarantined = settled.map(|(content, refusal)| Quarantined {
             content: *content,
-            remaining_ms: until.saturating_sub(now),
+            remaining_ms: refusal.until.saturating_sub(now),
         });
         let mut quarantined: Vec<Quarantined> =
             quarantined.filter(|quarantined| quarantined.remaining_ms > MIN_RELAYED_MS).collect();
@@ -191,16 +307,6 @@
         quarantined
     }
 
-    fn weight(&self, content: &Content) -> u32 {
-        let crashes = self.crashes.iter().map(|known| &known.crash);
-        let crashes = crashes.filter(|crash| crash.content == *content);
-        let weight = |crash: &Crash| match crash.is_before_output {
-            true => WEIGHT_BEFORE_OUTPUT,
-            false => WEIGHT,
-        };
-        crashes.map(weight).sum()
-    }
-
     fn remove_expired(&mut self, now: Millis) {
         let digests = &mut self.digests;
         self.crashes.retain(|known| {
@@ -210,6 +316,24 @@
             }
             is_kept
         });
-        self.until.retain(|_, until| now < *until);
+        self.refused.retain(|_, refusal| now < refusal.until);
+    }
+}
+
+/// What a crash weighs against its content.
+fn weight(crash: &Crash) -> u32 {
+    if crash.is_before_output { WEIGHT_BEFORE_OUTPUT } else { WEIGHT }
+}
+
+/// Whether the evidence against a content is enough, given that against all.
+fn is_guilty(content: &Content, against: &Evidence, all: &Map<Content, Evidence>) -> bool {
+    if against.weight < MIN_WEIGHT {
+        return false;
+    }
+    let others = all.iter().filter(|(other, _)| *other != content).map(|(_, other)| other);
+    let mut sharing = others.filter(|other| against.is_shared_by(other)).peekable();
+    if sharing.peek().is_none() {
+        return true;
     }
+    against.ends.len() >= MIN_SHARED_ENDS && sharing.all(|other| other.weight <= against.weight)
 }
