feat(gateway): backend servers that fall silent

Cause: a lost response counted only if the server closed its connection and then refused a new one. A server that answers nothing any more ended in the caller's departure or the deadline, which told the quarantine nothing, so that a request that silences servers reached one after the other. Change: a server that owes an answer and has sent no byte for 500 ms is probed on a new connection with a request that names no server, together with three others; `coordination::silence` decides. The connections to a silent one are closed, which ends its requests like those of a server that closes them; requests given up before are remembered for 4 s. Losses name the end of the server. Counter `silence_probes`, `lost_responses{outcome="server silent"}`.

--- /dev/null
+++ b/crates/coordination/tests/silence.rs
@@ -0,0 +1,79 @@
+//! Tests of the recognition of backend servers that fall silent.
+
+use coordination::silence::{DOUBT_MS, Observed, PROBE_TIMEOUT_MS, Probed, Silence, Verdict};
+
+/// Interval between two checks, in milliseconds.
+const CHECK_MS: u64 = 100;
+
+/// A probe that the server didn't answer, but two others did.
+const SILENT: Probed =
+    Probed { has_answered: false, witnesses: 2, answering_witnesses: 2, took_ms: PROBE_TIMEOUT_MS };
+
+fn observed(server: &str, quiet_since: u64) -> [Observed<'_>; 1] {
+    [Observed { server, quiet_since }]
+}
+
+#[test]
+fn server_is_probed_before_it_is_in_doubt_or_too_often() {
+    let mut silence = Silence::default();
+    let mut probed = Vec::new();
+    for now in (0..4_000).step_by(100) {
+        if !silence.check(now, observed("s1", 1_000).into_iter()).is_empty() {
+            probed.push(now);
+        }
+    }
+    assert_eq!(probed, [1_000 + DOUBT_MS, 2_000 + DOUBT_MS, 3_000 + DOUBT_MS]);
+    // A server that sends something now and then is never probed.
+    for now in (4_000..8_000).step_by(100) {
+        assert!(silence.check(now, observed("s2", now - 400).into_iter()).is_empty());
+    }
+}
+
+#[test]
+fn slow_server_is_taken_for_a_silent_one() {
+    let mut silence = Silence::default();
+    let slow = Probed { has_answered: true, ..SILENT };
+    assert_eq!(silence.judge(0, "s1", &slow), Verdict::Lives);
+    assert_eq!(silence.judge(0, "s1", &SILENT), Verdict::Silent);
+}
+
+#[test]
+fn servers_are_taken_for_silent_by_an_instance_that_is_cut_off() {
+    let mut silence = Silence::default();
+    for answering_witnesses in [0, 1] {
+        let probed = Probed { answering_witnesses, ..SILENT };
+        assert_eq!(silence.judge(0, "s1", &probed), Verdict::Unclear);
+    }
+    let alone = Probed { witnesses: 0, answering_witnesses: 0, ..SILENT };
+    assert_eq!(silence.judge(0, "s1", &alone), Verdict::Unclear);
+}
+
+#[test]
+fn servers_are_in_doubt_after_a_standstill_of_the_instance() {
+    let mut silence = Silence::default();
+    for now in (0..=1_000).step_by(100) {
+        silence.check(now, std::iter::empty());
+    }
+    // The process stood still for five seconds, in which answers may have come.
+    for now in (6_000..6_000 + DOUBT_MS).step_by(100) {
+        assert!(silence.check(now, observed("s1", 900).into_iter()).is_empty(), "{now}");
+    }
+    let now = 6_000 + DOUBT_MS;
+    assert_eq!(silence.check(now, observed("s1", 900).into_iter()), ["s1"]);
+    // It stood still during the probe.
+    let late = Probed { took_ms: 5_000, ..SILENT };
+    assert_eq!(silence.judge(now + 5_000, "s1", &late), Verdict::Unclear);
+}
+
+#[test]
+fn silent_server_testifies_on_others() {
+    let mut silence = Silence::default();
+    assert!(silence.may_testify("s1"));
+    silence.check(0, observed("s1", 0).into_iter());
+    silence.check(CHECK_MS, observed("s1", 0).into_iter());
+    assert_eq!(silence.judge(1_000, "s1", &SILENT), Verdict::Silent);
+    silence.check(1_100, std::iter::empty());
+    assert!(!silence.may_testify("s1") && silence.may_testify("s2"));
+    silence.judge(2_000, "s1", &Probed { has_answered: true, ..SILENT });
+    assert!(silence.may_testify("s1"));
+}
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -17,6 +17,8 @@
     pub(crate) connection: Option<Connection>,
     /// The request, once it is sent; `None` for one that is forwarded.
     pub(super) subject: Option<Arc<Subject>>,
+    /// Whether it is for a stream whose response has not begun.
+    pub(super) is_before_stream: bool,
     outcome: Outcome,
     /// Whether the request was forwarded to another entry.
     is_forwarded: bool,
@@ -31,6 +33,7 @@
             server,
             connection: None,
             subject: None,
+            is_before_stream: false,
             outcome: Outcome::Cancelled,
             is_forwarded: false,
         }
@@ -55,12 +58,23 @@
     /// complete; `None` for a request that was forwarded.
     pub(super) fn lose(mut self, request: &str, is_before_first_event: bool) -> Option<Loss> {
         self.outcome = Outcome::Failed;
+        let request = request.to_owned();
+        Some(Loss { request, is_before_first_event, ..self.loss()? })
+    }
+
+    /// The attempt as one that is lost now; `None` for a request that was forwarded, or not sent.
+    fn loss(&self) -> Option<Loss> {
+        let connection = self.connection.as_ref()?;
+        let is_silent = connection.has_fallen_silent();
+        let heard_at = connection.peer.heard_at();
         Some(Loss {
-            request: request.to_owned(),
+            request: String::new(),
             content: self.subject.as_ref()?.content(),
             server: self.server.id.clone(),
             address: self.server.address.clone(),
-            is_before_first_event,
+            is_before_first_event: self.is_before_stream,
+            is_silent,
+            alive_at: if is_silent { heard_at } else { connection.opened_at },
         })
     }
 
@@ -83,6 +97,14 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
+        if self.outcome == Outcome::Cancelled
+            && self.subject.is_some()
+            && self.entry.is_quiet(&self.server.address)
+            && let Some(loss) = self.loss()
+        {
+            let alive_at = self.connection.as_ref().map_or(0, |c| c.peer.heard_at());
+            self.entry.doubt(Loss { is_silent: true, alive_at, ..loss });
+        }
         let now = self.entry.now();
         if !self.is_forwarded
             && let Ok(mut fleet) = self.entry.fleet.lock()
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -12,6 +12,7 @@
 use crate::gateway::metrics::Metrics;
 use crate::gateway::pool::Pool;
 use crate::gateway::server;
+use crate::gateway::silence::Doubt;
 use crate::gateway::stories::{Record, Records};
 use crate::member::Member;
 use crate::member::servers::{Snapshot, Usage, View};
@@ -21,6 +22,7 @@
 use coordination::placement::{self, Fleet};
 use coordination::reach::Reach;
 use coordination::retry::Budget;
+use coordination::silence::Silence;
 use coordination::waiting::{self, Queue};
 use http::response;
 use protocol::presence::{RateLimit, Roster};
@@ -101,6 +103,10 @@
     /// Connections to other entries, for requests that are forwarded.
     pub(crate) relays: Pool,
     pub(crate) reach: Mutex<Reach>,
+    pub(super) silence: Mutex<Silence>,
+    /// Requests that were given up while their servers were silent. It is locked after `fleet` and
+    /// before `silence`.
+    pub(super) doubts: Mutex<Vec<Doubt>>,
     /// Whether this instance reaches no backend server.
     pub(crate) is_partitioned: watch::Sender<bool>,
     /// Notified when a connection to a backend server cannot be opened.
@@ -147,9 +153,11 @@
         let (stop, phase) = watch::channel(server::Phase::Serving);
         let started_at = member.clock.now();
         let entry = Arc::new(Self {
-            pool: Pool::new(settings.connector.clone()),
+            pool: Pool::new(settings.connector.clone(), member.clock),
             relays: Pool::default(),
             reach: Mutex::default(),
+            silence: Mutex::default(),
+            doubts: Mutex::default(),
             is_partitioned: watch::Sender::new(false),
             connection_failed: Notify::new(),
             settings,
@@ -178,6 +186,7 @@
         tokio::spawn(entry.clone().poll_list());
         tokio::spawn(entry.clone().expire_connections());
         tokio::spawn(entry.clone().watch_reach());
+        tokio::spawn(entry.clone().watch_silence());
         if let Some(listener) = relay_listener {
             let phase = phase.clone();
             tokio::spawn(server::serve(entry.clone(), listener, phase, Source::Entries));
--- a/crates/transport/src/gateway/loss.rs
+++ b/crates/transport/src/gateway/loss.rs
@@ -1,15 +1,16 @@
-//! Attempts whose backend server closed the connection before its response was complete.
+//! Attempts whose connection was closed before the response of the backend server was complete.
 //!
 //! The server may have ended, or only the response was lost. A process that ends closes the socket
 //! that it listens on together with its connections, so the entry connects again at once: a
-//! server that has ended refuses.
+//! server that has ended refuses. A server that has fallen silent was probed before its connections
+//! were closed.
 
 use crate::clock::millis;
 use crate::gateway::entry::Entry;
 use bytes::Bytes;
+use coordination::Millis;
 use coordination::content::{self, Content};
 use coordination::quarantine::Crash;
-use coordination::routing;
 use http::Method;
 use std::io;
 use std::sync::Arc;
@@ -52,6 +53,11 @@
     pub(super) address: String,
     /// Whether the request is for a stream of which no event was received.
     pub(super) is_before_first_event: bool,
+    /// Whether the server has fallen silent.
+    pub(super) is_silent: bool,
+    /// Time at which the server was last known to run. A new connection shows that, unless the server
+    /// is silent: the network accepts connections for it.
+    pub(super) alive_at: Millis,
 }
 
 impl Entry {
@@ -63,15 +69,17 @@
 
     /// Records that the server ended under the request, and tells the control instances at once.
     fn record_crash(&self, loss: &Loss) {
-        let crash = Crash {
-            content: loss.content,
-            digest: routing::score(&loss.request, &loss.server),
-            is_before_output: loss.is_before_first_event,
-            age_ms: 0,
-        };
         let now = self.now();
-        let recorded = self.member.quarantine.lock().map(|mut q| q.observe(now, crash));
-        if recorded.is_ok_and(|is_quarantined| is_quarantined) {
+        let recorded = self.member.quarantine.lock().map(|mut quarantine| {
+            let withdrawn = quarantine.withdrawn();
+            let end = quarantine.end_of(&loss.server, loss.alive_at);
+            let crash = Crash::new(loss.content, end, loss.is_before_first_event);
+            (quarantine.observe(now, crash), quarantine.withdrawn() > withdrawn)
+        });
+        let Ok((is_quarantined, is_withdrawn)) = recorded else {
+            return;
+        };
+        if is_quarantined {
             tracing::warn!(
                 request = loss.request,
                 content = %loss.content,
@@ -79,11 +87,31 @@
                 "content quarantined, because it crashes backend servers"
             );
         }
+        if is_withdrawn {
+            tracing::info!(
+                content = %loss.content,
+                server = loss.server,
+                "quarantine withdrawn, because this content was lost with the same servers"
+            );
+        }
         self.member.heartbeat_trigger.notify_one();
     }
 
     /// Finds out whether the backend server has ended, and counts that against the content.
     pub(super) async fn examine_loss(&self, loss: &Loss) {
+        if loss.is_silent {
+            self.record_crash(loss);
+            self.metrics.loss("server silent");
+            tracing::info!(
+                request = loss.request,
+                content = %loss.content,
+                server = loss.server,
+                address = loss.address,
+                is_before_first_event = loss.is_before_first_event,
+                "response lost with a silent server"
+            );
+            return;
+        }
         let started = Instant::now();
         let connected = self.pool.probe(&loss.address).await;
         let error = connected.err();
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
     resumptions: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
     losses: Family<Label, Counter>,
+    probes: Family<Label, Counter>,
     pub(crate) partitioned: Gauge,
     pub(crate) first_byte: Histogram,
     pub(crate) duration: Histogram,
@@ -58,6 +59,9 @@
         let losses = Family::<Label, Counter>::default();
         let help = "Responses that were lost, by what became of the server";
         registry.register("lost_responses", help, losses.clone());
+        let probes = Family::<Label, Counter>::default();
+        let help = "Probes of servers that may have fallen silent, by what they showed";
+        registry.register("silence_probes", help, probes.clone());
         let partitioned = Gauge::default();
         let help = "1 while no backend server is reached, otherwise 0";
         registry.register("partitioned", help, partitioned.clone());
@@ -92,6 +96,7 @@
             resumptions,
             forwarded,
             losses,
+            probes,
             partitioned,
             first_byte,
             duration,
@@ -125,6 +130,10 @@
         self.losses.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn probed(&self, verdict: &str) {
+        self.probes.get_or_create(&Label { outcome: verdict.to_owned() }).inc();
+    }
+
     pub(crate) fn leaving(&self, source: &str, count: usize) {
         let label = Label { outcome: source.to_owned() };
         self.leaving_servers.get_or_create(&label).set(count as i64);
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod sending;
 mod server;
+mod silence;
 mod stories;
 mod turns;
 mod waiter;
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -4,8 +4,11 @@
 //! request ends in any other way its connection is closed, which also stops the work on the
 //! server.
 
+use crate::clock::Clock;
 use crate::gateway::connector::{Connector, Direct};
+use crate::gateway::silence::Peer;
 use bytes::Bytes;
+use coordination::Millis;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -16,7 +19,7 @@
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -56,6 +59,10 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     allowance: Arc<Allowance>,
+    pub(super) peer: Arc<Peer>,
+    pub(super) opened_at: Millis,
+    /// Whether it was closed because the server has fallen silent.
+    has_fallen_silent: Arc<AtomicBool>,
 }
 
 /// Number of bytes that a connection may still receive.
@@ -88,6 +95,7 @@
     /// Number of bytes received on all connections of the pool.
     received: Arc<AtomicU64>,
     allowance: Arc<Allowance>,
+    peer: Arc<Peer>,
 }
 
 impl AsyncRead for Metered {
@@ -100,6 +108,9 @@
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let count = buffer.filled().len() - filled;
         self.received.fetch_add(count as u64, Ordering::Relaxed);
+        if count > 0 {
+            self.peer.hear();
+        }
         if self.allowance.deduct(count) {
             return Poll::Ready(Ok(()));
         }
@@ -164,6 +175,7 @@
         connector: &dyn Connector,
         address: &str,
         received: Arc<AtomicU64>,
+        peer: Arc<Peer>,
     ) -> io::Result<Self> {
         let address: SocketAddr = address.parse().map_err(io::Error::other)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(address)).await;
@@ -177,15 +189,26 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES).writev(true);
         let allowance = Arc::new(Allowance(AtomicUsize::new(HEAD_BYTES)));
-        let stream = Metered { stream, received, allowance: allowance.clone() };
+        let stream = Metered { stream, received, allowance: allowance.clone(), peer: peer.clone() };
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let has_fallen_silent = Arc::new(AtomicBool::new(false));
+        let (silent, silent_peer) = (has_fallen_silent.clone(), peer.clone());
         let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "connection to a backend server ended");
+            tokio::select! {
+                ended = connection => if let Err(error) = ended {
+                    tracing::debug!(%error, "connection to a backend server ended");
+                },
+                () = silent_peer.silence() => silent.store(true, Ordering::Relaxed),
             }
         });
-        Ok(Self { sender, task: task.abort_handle(), allowance })
+        let (task, opened_at) = (task.abort_handle(), peer.now());
+        Ok(Self { sender, task, allowance, peer, opened_at, has_fallen_silent })
+    }
+
+    /// Whether it was closed because the server has fallen silent.
+    pub(super) fn has_fallen_silent(&self) -> bool {
+        self.has_fallen_silent.load(Ordering::Relaxed)
     }
 
     /// Sends a request and waits for the head of the response.
@@ -197,6 +220,7 @@
             return Err(SendError::NotSent);
         }
         self.allowance.limit();
+        self.peer.ask();
         let response =
             self.sender.try_send_request(request).await.map_err(|mut error| {
                 match error.take_message() {
@@ -218,20 +242,49 @@
 /// Idle connections by server address.
 pub(crate) struct Pool {
     connector: Arc<dyn Connector>,
+    clock: Clock,
     received: Arc<AtomicU64>,
     idle: Mutex<Map<String, Vec<Idle>>>,
+    peers: Mutex<Map<String, Arc<Peer>>>,
 }
 
 impl Default for Pool {
     fn default() -> Self {
-        Self::new(Arc::new(Direct))
+        Self::new(Arc::new(Direct), Clock::new())
     }
 }
 
 impl Pool {
     /// Creates an empty pool.
-    pub(crate) fn new(connector: Arc<dyn Connector>) -> Self {
-        Self { connector, received: Arc::default(), idle: Mutex::default() }
+    pub(crate) fn new(connector: Arc<dyn Connector>, clock: Clock) -> Self {
+        Self {
+            connector,
+            clock,
+            received: Arc::default(),
+            idle: Mutex::default(),
+            peers: Mutex::default(),
+        }
+    }
+
+    /// Returns what the connections to `address` show of the server.
+    pub(super) fn peer(&self, address: &str) -> Arc<Peer> {
+        let Ok(mut peers) = self.peers.lock() else {
+            return Arc::new(Peer::new(self.clock));
+        };
+        if let Some(peer) = peers.get(address) {
+            return peer.clone();
+        }
+        let peer = Arc::new(Peer::new(self.clock));
+        peers.insert(address.to_owned(), peer.clone());
+        peer
+    }
+
+    /// Closes all connections to a server that has fallen silent.
+    pub(super) fn close_silent(&self, address: &str) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(address);
+        }
+        self.peer(address).fall_silent();
     }
 
     /// Returns an idle connection to `address` or opens one; the flag is `true` for a new
@@ -247,8 +300,14 @@
         Ok((self.open(address).await?, true))
     }
 
-    async fn open(&self, address: &str) -> io::Result<Connection> {
-        Connection::open(self.connector.as_ref(), address, self.received.clone()).await
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if no connection can be opened.
+    pub(super) async fn open(&self, address: &str) -> io::Result<Connection> {
+        let peer = self.peer(address);
+        Connection::open(self.connector.as_ref(), address, self.received.clone(), peer).await
     }
 
     /// Opens a connection that the next request to `address` can use.
@@ -311,6 +370,9 @@
                 !connections.is_empty() && is_known(address)
             });
         }
+        if let Ok(mut peers) = self.peers.lock() {
+            peers.retain(|address, peer| Arc::strong_count(peer) > 1 || is_known(address));
+        }
     }
 }
 
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -346,6 +346,7 @@
         let (id, address) = (attempt.server.id.clone(), attempt.server.address.clone());
         let server_version = attempt.server.software_version.clone();
         attempt.subject = Some(outbound.subject.clone());
+        attempt.is_before_stream = outbound.route.is_stream;
         let resumption = outbound.metadata.resumption.as_ref();
         let resumes = resumption.map(|resumption| resumption.origin.as_deref().unwrap_or_default());
         loop {
@@ -521,6 +522,7 @@
             self.entry.observe_leaving(dispatch.id, dispatch.server, &head);
         }
         if verdict == Verdict::Answer {
+            attempt.is_before_stream = false;
             return AttemptResult::Answered(Box::new((Response::from_parts(head, body), attempt)));
         }
         let is_named = self.entry.adapter.names_request(&head);
