fix(coordination): bound of the probes of quiet servers

Cause: under overload many servers are quiet for 500 ms at once, and each would be probed, with three witnesses, once a second by every entry. Change: at most four servers are probed in a second, those that have been quiet longest first. Measured: cargo test -p buckthornshelf-coordination -- silence: 7 passed (the new test was not seen to fail; the bound is new). Cost under overload: not measured.

--- a/crates/coordination/src/silence.rs
+++ b/crates/coordination/src/silence.rs
@@ -29,6 +29,10 @@
 /// Interval between two probes of a server, in milliseconds. It bounds what slow servers cost.
 const PROBE_INTERVAL_MS: Millis = 1_000;
 
+/// Maximum number of servers that are probed in one interval. If more are quiet at once, it isn't the
+/// content of one request; the probes would add to an overload.
+const MAX_PROBED: usize = 4;
+
 /// Time between two checks from which this process stood still, in milliseconds: some intervals of
 /// its checks. Servers are in doubt only some time after that.
 const STANDSTILL_MS: Millis = 1_000;
@@ -80,7 +84,7 @@
 }
 
 impl Silence {
-    /// Returns the servers to probe now.
+    /// Returns the servers to probe now, those that have been quiet for the longest time first.
     pub fn check<'a>(
         &mut self,
         now: Millis,
@@ -96,8 +100,11 @@
             now >= observed.quiet_since.max(self.resumed_at) + DOUBT_MS
                 && !self.probed_at.contains_key(observed.server)
         };
-        let doubtful: Vec<&str> =
-            observed.filter(is_doubtful).map(|observed| observed.server).collect();
+        let mut doubtful: Vec<Observed<'_>> = observed.filter(is_doubtful).collect();
+        doubtful.sort_unstable_by_key(|observed| (observed.quiet_since, observed.server));
+        doubtful.dedup();
+        doubtful.truncate(MAX_PROBED.saturating_sub(self.probed_at.len()));
+        let doubtful: Vec<&str> = doubtful.iter().map(|observed| observed.server).collect();
         self.probed_at.extend(doubtful.iter().map(|server| ((*server).to_owned(), now)));
         doubtful
     }
--- a/crates/coordination/tests/silence.rs
+++ b/crates/coordination/tests/silence.rs
@@ -77,3 +77,20 @@
     silence.judge(2_000, "s1", &Probed { has_answered: true, ..SILENT });
     assert!(silence.may_testify("s1"));
 }
+
+#[test]
+fn slow_servers_are_probed_all_at_once() {
+    let mut silence = Silence::default();
+    let names: Vec<String> = (0..40).map(|number| format!("s{number:02}")).collect();
+    let mut probed = Vec::new();
+    for now in (0..4_000).step_by(100) {
+        // The later a server stands in the list, the longer it has been quiet; one is named twice.
+        let quiet = names.iter().rev().zip(0..).chain([(&names[39], 0)]);
+        let observed = quiet.map(|(server, quiet_since)| Observed { server, quiet_since });
+        let doubtful = silence.check(now, observed);
+        assert!(doubtful.len() <= 4);
+        probed.extend(doubtful.into_iter().map(str::to_owned));
+    }
+    assert_eq!(probed[..4], ["s39", "s38", "s37", "s36"]);
+    assert!(probed.len() <= 16, "{} probes in four seconds", probed.len());
+}
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -156,11 +156,7 @@
         let Ok(mut silence) = self.silence.lock() else {
             return Vec::new();
         };
-        let mut doubtful: Vec<String> =
-            silence.check(now, observed).into_iter().map(str::to_owned).collect();
-        doubtful.sort_unstable();
-        doubtful.dedup();
-        doubtful
+        silence.check(now, observed).into_iter().map(str::to_owned).collect()
     }
 
     /// Probes a server, and ends its requests if it has fallen silent.
