--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -18,5 +18,6 @@
 mod reach;
 mod retry;
 mod routing;
+mod silence;
 mod util;
 mod waiting;
