feat(consensus): a log that is cut by bytes, and the state instead of its changes

A replica that lacks more bytes of committed entries than the state has is sent the state. A proposal is refused while 16 MiB wait for a quorum.

--- a/crates/coordination/src/consensus/leader.rs
+++ b/crates/coordination/src/consensus/leader.rs
@@ -40,9 +40,11 @@
     matched: u64,
     /// Index of the next entry to send.
     pub(crate) next: u64,
+    /// Index after which entries were sent since the last rewind.
+    sent_after: u64,
     /// Estimated number of append messages with entries that are not acknowledged; every
     /// successful reply reduces it by one.
-    in_flight: usize,
+    pub(crate) in_flight: usize,
     pub(crate) last_reply: Option<Millis>,
     /// Time at which entries were last sent or snapshot chunks last requested.
     pub(crate) last_sent: Millis,
@@ -84,6 +86,7 @@
         Self {
             matched: 0,
             next,
+            sent_after: next.saturating_sub(1),
             in_flight: 0,
             last_reply: None,
             last_sent: now,
@@ -92,6 +95,18 @@
             is_snapshot_pending: false,
         }
     }
+
+    /// Index after which the sent entries are not confirmed.
+    pub(crate) fn first_unconfirmed(&self) -> u64 {
+        self.matched.max(self.sent_after)
+    }
+
+    /// Continues with the entry `next`; entries in flight are taken to be lost.
+    pub(crate) fn rewind_to(&mut self, next: u64) {
+        self.next = next;
+        self.sent_after = next.saturating_sub(1);
+        self.in_flight = 0;
+    }
 }
 
 impl Replica {
@@ -205,8 +220,7 @@
     }
 
     fn send_append(&mut self, to: Id, is_heartbeat: bool) {
-        let (base, last, window) =
-            (self.log.base_index(), self.log.last_index(), self.settings.window);
+        let (base, last) = (self.log.base_index(), self.log.last_index());
         let (now, retry_ms) = (self.now, self.settings.election_ms);
         let Some(leadership) = self.leadership_mut() else {
             return;
@@ -223,22 +237,26 @@
             return;
         }
         let is_stalled = peer.last_sent + retry_ms <= now;
-        if peer.next <= base || peer.snapshot.is_some() {
+        if peer.next <= base || peer.snapshot.is_some() || peer.is_snapshot_pending {
             self.advance_snapshot(to, is_heartbeat);
             return;
         }
         if is_stalled && peer.in_flight > 0 {
-            peer.next = peer.matched + 1;
-            peer.in_flight = 0;
+            peer.rewind_to(peer.matched + 1);
+        }
+        let (next, has_replied) = (peer.next, peer.last_reply.is_some());
+        if has_replied && self.needs_state(next) {
+            self.advance_snapshot(to, is_heartbeat);
+            return;
         }
-        if !is_heartbeat && (peer.in_flight >= window || peer.next > last) {
+        if !is_heartbeat && (next > last || self.is_window_full(to)) {
             return;
         }
         self.send_entries(to, round, is_heartbeat);
     }
 
     fn send_entries(&mut self, to: Id, round: u64, is_heartbeat: bool) {
-        let (bytes, window, now) = (self.settings.batch_bytes, self.settings.window, self.now);
+        let (bytes, now, is_full) = (self.settings.batch_bytes, self.now, self.is_window_full(to));
         let Some(next) = self.leadership_mut().and_then(|l| l.peers.get(&to)).map(|p| p.next)
         else {
             return;
@@ -253,7 +271,7 @@
         let Some(peer) = self.leadership_mut().and_then(|l| l.peers.get_mut(&to)) else {
             return;
         };
-        if is_heartbeat && peer.in_flight >= window {
+        if is_heartbeat && is_full {
             entries.clear();
         }
         peer.next += entries.len() as u64;
@@ -313,8 +331,7 @@
                 peer.snapshot = None;
             }
         } else if peer.snapshot.is_none() {
-            peer.in_flight = 0;
-            peer.next = (index + 1).clamp(peer.matched + 1, last + 1);
+            peer.rewind_to((index + 1).clamp(peer.matched + 1, last + 1));
         }
         let has_more = peer.next <= last;
         self.advance_commit();
--- a/crates/coordination/src/consensus/log.rs
+++ b/crates/coordination/src/consensus/log.rs
@@ -85,11 +85,40 @@
     /// Term of the entry at `base_index`.
     base_term: u64,
     entries: Vec<Entry>,
+    /// Total size up to and including each of `entries`, in bytes, counted from `base_bytes`.
+    ends: Vec<u64>,
+    /// Total size of the entries that were removed from the front, in bytes.
+    base_bytes: u64,
 }
 
 impl Log {
     pub(crate) fn new(base_index: u64, base_term: u64, entries: Vec<Entry>) -> Self {
-        Self { base_index, base_term, entries }
+        let mut log = Self { base_index, base_term, ..Self::default() };
+        entries.into_iter().for_each(|entry| log.push(entry));
+        log
+    }
+
+    /// Total size of all entries up to `index` since the log was created, in bytes; entries that
+    /// are compacted or not yet appended are left out.
+    fn end(&self, index: u64) -> u64 {
+        let count = usize::try_from(index.saturating_sub(self.base_index)).unwrap_or(usize::MAX);
+        let last = count.min(self.ends.len()).checked_sub(1);
+        last.and_then(|last| self.ends.get(last)).copied().unwrap_or(self.base_bytes)
+    }
+
+    /// Size of the entries after `from` up to and including `to`, in bytes.
+    pub(crate) fn bytes_between(&self, from: u64, to: u64) -> u64 {
+        self.end(to).saturating_sub(self.end(from))
+    }
+
+    /// Lowest index after which the entries up to `to` have at most `max_bytes` in total.
+    pub(crate) fn index_within(&self, to: u64, max_bytes: u64) -> u64 {
+        let start = self.end(to).saturating_sub(max_bytes);
+        if start <= self.base_bytes {
+            return self.base_index;
+        }
+        let count = self.ends.partition_point(|end| *end < start) as u64;
+        self.base_index + count + 1
     }
 
     pub(crate) fn base_index(&self) -> u64 {
@@ -144,6 +173,7 @@
 
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.ends.push(self.end(self.last_index()) + entry.size() as u64);
         self.entries.push(entry);
     }
 
@@ -151,6 +181,7 @@
     pub(crate) fn truncate(&mut self, index: u64) {
         if let Some(position) = self.position(index) {
             self.entries.truncate(position);
+            self.ends.truncate(position);
         }
     }
 
@@ -160,7 +191,9 @@
             return;
         };
         let count = usize::try_from(index - self.base_index).unwrap_or(0);
+        self.base_bytes = self.end(index);
         self.entries.drain(..count);
+        self.ends.drain(..count);
         self.base_index = index;
         self.base_term = term;
     }
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -15,10 +15,11 @@
 mod message;
 mod repair;
 mod replica;
+mod retention;
 mod snapshot;
 
 pub use log::{Entry, Members, Payload};
 pub use message::{Message, Meta};
 pub use repair::{Peer, Replacement, StartMode, initial_id};
-pub use replica::{HardState, Id, NotLeader, Ready, Replica, Restored, Role, Settings};
+pub use replica::{HardState, Id, NotLeader, Ready, Refusal, Replica, Restored, Role, Settings};
 pub use snapshot::{Chunk, ChunkRequest};
--- a/crates/coordination/src/consensus/replica.rs
+++ b/crates/coordination/src/consensus/replica.rs
@@ -35,6 +35,20 @@
     pub chunk_window: usize,
     /// Maximum number of append messages with entries in flight to one replica.
     pub window: usize,
+    /// Maximum size of the entries in flight to one replica, in bytes; a larger entry is sent
+    /// alone. Must fit into the transport's queue of a peer, which drops what exceeds it.
+    pub window_bytes: u64,
+    /// Maximum number of applied entries that stay in memory, so that a replica that was
+    /// disconnected for a few seconds catches up without a snapshot.
+    pub trailing_entries: u64,
+    /// Maximum size of the applied entries that stay in memory, in bytes; the limit is lower if
+    /// the state is smaller.
+    pub trailing_bytes: u64,
+    /// Maximum size of the entries that stay in memory for a replica that is receiving a
+    /// snapshot, in bytes.
+    pub pinned_bytes: u64,
+    /// Size of the entries that wait for a quorum above which proposals are refused, in bytes.
+    pub uncommitted_bytes: u64,
 }
 
 impl Default for Settings {
@@ -44,8 +58,13 @@
             heartbeat_ms: 60,
             batch_bytes: 128 * 1024,
             chunk_bytes: 256 * 1024,
-            chunk_window: 4,
+            chunk_window: 12,
             window: 8,
+            window_bytes: 2 * 1024 * 1024,
+            trailing_entries: 2_000,
+            trailing_bytes: 16 * 1024 * 1024,
+            pinned_bytes: 32 * 1024 * 1024,
+            uncommitted_bytes: 16 * 1024 * 1024,
         }
     }
 }
@@ -88,6 +107,17 @@
 #[error("not the leader; known leader: {0:?}")]
 pub struct NotLeader(pub Option<Id>);
 
+/// Error of a proposal, which was not appended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// Another replica leads, if any.
+    #[error(transparent)]
+    NotLeader(#[from] NotLeader),
+    /// Too many bytes wait for a quorum; the proposal may be repeated later.
+    #[error("too many bytes wait for a quorum")]
+    Full,
+}
+
 /// Work that the caller must carry out, in the order of the fields.
 #[derive(Debug, Default)]
 pub struct Ready {
@@ -166,6 +196,8 @@
     /// Time of the next pre-vote unless a leader makes contact before.
     pub(crate) election_due: Millis,
     pub(crate) incoming: Option<Incoming>,
+    /// Size of the state machine's export as last told by the caller, in bytes.
+    pub(crate) state_bytes: u64,
     pub(crate) ready: Ready,
 }
 
@@ -203,6 +235,7 @@
             last_leader_contact: None,
             election_due: now,
             incoming: None,
+            state_bytes: 0,
             ready: Ready::default(),
         };
         replica.refresh_members();
@@ -310,10 +343,11 @@
     ///
     /// # Errors
     ///
-    /// Returns [`NotLeader`] if another replica leads.
-    pub fn propose(&mut self, now: Millis, token: u64, data: Vec<u8>) -> Result<(), NotLeader> {
+    /// Returns a [`Refusal`] if another replica leads, or if too many bytes wait for a quorum.
+    pub fn propose(&mut self, now: Millis, token: u64, data: Vec<u8>) -> Result<(), Refusal> {
         self.now = self.now.max(now);
-        self.append_local(Payload::Data(data), Some(token))
+        self.check_room(data.len())?;
+        Ok(self.append_local(Payload::Data(data), Some(token))?)
     }
 
     /// Records that the caller has persisted all entries up to `index`.
--- a/crates/coordination/src/consensus/snapshot.rs
+++ b/crates/coordination/src/consensus/snapshot.rs
@@ -73,7 +73,7 @@
             return;
         };
         peer.is_snapshot_pending = false;
-        peer.next = meta.index + 1;
+        peer.rewind_to(meta.index + 1);
         peer.snapshot = Some(Outgoing { meta, number, total, acknowledged: 0, requested: 0 });
         self.request_chunks(to);
     }
--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -5,16 +5,16 @@
     StartMode, initial_id,
 };
 
-fn members(ids: &[u64]) -> Members {
+pub(crate) fn members(ids: &[u64]) -> Members {
     Members { voters: ids.iter().map(|id| (*id, format!("h{id}"))).collect(), ..Members::default() }
 }
 
-fn replica(id: u64, ids: &[u64]) -> Replica {
+pub(crate) fn replica(id: u64, ids: &[u64]) -> Replica {
     Replica::new(id, Settings::default(), id, 0, Restored::default(), &members(ids))
 }
 
 /// Takes the replica's pending work, marks its entries as persisted and returns it.
-fn persist_ready(replica: &mut Replica) -> Ready {
+pub(crate) fn persist_ready(replica: &mut Replica) -> Ready {
     let ready = replica.ready();
     if let Some(last) = ready.entries.last() {
         replica.synced(last.index);
@@ -23,7 +23,7 @@
 }
 
 /// Delivers messages until none remain; returns the indices that each replica committed.
-fn deliver_messages(replicas: &mut [Replica], now: u64) -> Vec<Vec<u64>> {
+pub(crate) fn deliver_messages(replicas: &mut [Replica], now: u64) -> Vec<Vec<u64>> {
     let mut committed = vec![Vec::new(); replicas.len()];
     loop {
         let mut messages = Vec::new();
@@ -52,7 +52,7 @@
     }
 }
 
-fn elect(replicas: &mut [Replica], at: usize) {
+pub(crate) fn elect(replicas: &mut [Replica], at: usize) {
     replicas[at].tick(2_000);
     deliver_messages(replicas, 2_000);
     assert!(replicas[at].is_established());
--- a/crates/coordination/tests/util/host.rs
+++ b/crates/coordination/tests/util/host.rs
@@ -135,7 +135,7 @@
         let token = self.next_token;
         let result = match &rpc {
             Rpc::Submit(data) => self.replica.propose(now, token, data.clone()),
-            Rpc::Query(_) | Rpc::Renew { .. } => self.replica.read(now, token),
+            Rpc::Query(_) | Rpc::Renew { .. } => self.replica.read(now, token).map_err(Into::into),
         };
         match result {
             Ok(()) => drop(self.pending.insert(token, (origin, rpc))),
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -92,6 +92,11 @@
     /// Returns the storage error that stops the replica.
     fn save(&mut self) -> Result<Vec<u8>, Storage>;
 
+    /// Size of the [`StateMachine::export`] of the state that was just saved as `saved`, in bytes.
+    fn export_bytes(&self, saved: &[u8]) -> u64 {
+        saved.len() as u64
+    }
+
     /// Deletes bulk data that the state no longer refers to; called once the saved state is
     /// durable. Does nothing for a state machine without bulk data.
     ///
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -326,6 +326,10 @@
         machine::encode(&self.snapshot(position))
     }
 
+    fn export_bytes(&self, saved: &[u8]) -> u64 {
+        self.retained.values().fold(saved.len() as u64, |sum, turn| sum + turn.item.len)
+    }
+
     fn prune(&mut self) -> Result<(), Storage> {
         let live: Set<u64> = self.retained.values().map(|turn| turn.item.segment).collect();
         self.history.retain(&|segment| live.contains(&segment))
--- a/crates/transport/src/replica/handle.rs
+++ b/crates/transport/src/replica/handle.rs
@@ -56,6 +56,10 @@
     pub(crate) last_index: u64,
     /// Index of the last entry that is no longer in memory.
     pub(crate) base_index: u64,
+    /// Size of the entries in memory, in bytes.
+    pub(crate) log_bytes: u64,
+    /// Commands refused since the start because too many bytes waited for a quorum.
+    pub(crate) refused_full: u64,
     /// Name or address of the instance that leads.
     pub(crate) leader: Option<String>,
     /// Replica id, instance, and whether the replica votes.
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -9,7 +9,8 @@
 use crate::storage::{Group, Identity};
 use coordination::Millis;
 use coordination::consensus::{
-    Chunk, ChunkRequest, Entry, Id, Message, Meta, Payload, Ready, Replacement, Replica, Settings,
+    Chunk, ChunkRequest, Entry, Id, Message, Meta, Payload, Ready, Refusal, Replacement, Replica,
+    Settings,
 };
 use coordination::membership::{Candidate, Planner, Step};
 use protocol::wire::Envelope;
@@ -30,20 +31,19 @@
 /// replacement of a replica takes.
 const PLAN_INTERVAL_MS: Millis = 50;
 
-/// Number of entries before a snapshot that stay in memory, so that a replica that was
-/// disconnected for a few seconds catches up without a snapshot.
-const TRAILING_ENTRIES: u64 = 2_000;
-
 /// Maximum number of queued jobs handled before one sync.
 const MAX_BATCH: usize = 512;
 
+/// Number of commands refused for lack of room for each line in the log.
+const REFUSALS_PER_LOG_LINE: u64 = 1_000;
+
 /// Configuration of a replica's thread.
 pub(crate) struct Config {
     pub(crate) group: u32,
     pub(crate) identity: Identity,
     pub(crate) clock: Clock,
     pub(crate) consensus: Settings,
-    /// Size of the log file above which it is replaced by a snapshot, in bytes.
+    /// Size of the entries in the log file above which it is replaced by a snapshot, in bytes.
     pub(crate) compact_bytes: u64,
     /// Seed of the randomized election timeouts.
     pub(crate) seed: u64,
@@ -81,6 +81,8 @@
     /// Snapshot being received.
     import: Option<Box<dyn Import>>,
     compact_bytes: u64,
+    /// Size of the log file when it was last replaced by a snapshot, in bytes.
+    rewritten_bytes: u64,
     /// Instance of each replica that sent a message; used for replicas that are not members.
     instances: Map<Id, String>,
     last_token: u64,
@@ -122,6 +124,7 @@
             exports: Map::default(),
             import: None,
             compact_bytes: config.compact_bytes,
+            rewritten_bytes: 0,
             instances: Map::default(),
             last_token: 0,
             pending: Map::default(),
@@ -171,7 +174,7 @@
                 let token = self.next_token();
                 match self.replica.propose(now, token, command) {
                     Ok(()) => drop(self.pending.insert(token, reply)),
-                    Err(_) => drop(reply.send(Outcome::NotLeader(self.leader_instance()))),
+                    Err(refusal) => self.refuse(refusal, reply),
                 }
             }
             Job::Query { query, reply } => {
@@ -198,6 +201,24 @@
         }
     }
 
+    /// Answers a command that was not appended; its sender repeats it.
+    fn refuse(&mut self, refusal: Refusal, reply: oneshot::Sender<Outcome>) {
+        if refusal == Refusal::Full {
+            if self.status.refused_full.is_multiple_of(REFUSALS_PER_LOG_LINE) {
+                let waiting = self.replica.last_index() - self.replica.commit();
+                tracing::warn!(
+                    group = self.group,
+                    waiting,
+                    refused = self.status.refused_full,
+                    "command refused: too many bytes wait for a quorum"
+                );
+            }
+            self.status.refused_full += 1;
+        }
+        // Sending fails if the requester timed out.
+        drop(reply.send(Outcome::NotLeader(self.leader_instance())));
+    }
+
     /// Returns a new token, which matches a command or query to its result.
     fn next_token(&mut self) -> u64 {
         self.last_token += 1;
@@ -307,6 +328,7 @@
         let meta = self.replica.meta_at(self.applied);
         let export = self.state_machine.export()?;
         let bytes = export.size();
+        self.replica.set_state_bytes(bytes);
         tracing::info!(
             group = self.group,
             peer,
@@ -408,17 +430,24 @@
         self.rewrite(meta, saved)
     }
 
-    /// Replaces the log by a snapshot once it exceeds the configured size.
+    /// Replaces the log by a snapshot once its entries exceed the configured size.
     fn compact_if_large(&mut self) -> Result<(), Storage> {
-        if self.log.bytes() < self.compact_bytes || self.applied <= self.replica.base_index() {
+        let added = self.log.bytes().saturating_sub(self.rewritten_bytes);
+        if added < self.compact_bytes || self.applied <= self.replica.base_index() {
             return Ok(());
         }
         let saved = self.state_machine.save()?;
+        self.replica.set_state_bytes(self.state_machine.export_bytes(&saved));
         let meta = self.replica.meta_at(self.applied);
-        // A replica that is receiving a snapshot needs the entries that follow it next.
+        self.replica.compact(self.replica.compactable(self.applied));
         let sent = self.replica.snapshots().map(|(_, index)| index).min();
-        let trailing = self.applied.saturating_sub(TRAILING_ENTRIES);
-        self.replica.compact(sent.map_or(trailing, |index| index.min(trailing)));
+        if sent.is_some_and(|index| index < self.replica.base_index()) {
+            tracing::warn!(
+                group = self.group,
+                log_bytes = self.replica.log_bytes(),
+                "a replica needs another snapshot: too many bytes since the one it is sent"
+            );
+        }
         self.rewrite(&meta, saved)
     }
 
@@ -430,6 +459,7 @@
         let entries = self.replica.entries_after(meta.index);
         contents.extend(records(Some((hard_state.term, hard_state.vote)), None, &entries)?);
         self.log.rewrite(&contents)?;
+        self.rewritten_bytes = self.log.bytes();
         self.state_machine.prune()
     }
 
@@ -446,6 +476,7 @@
             applied: self.applied,
             last_index: self.replica.last_index(),
             base_index: self.replica.base_index(),
+            log_bytes: self.replica.log_bytes(),
             leader: self.leader_instance(),
             members: voters.chain(learners).collect(),
             is_settled: self.replica.is_settled(),
