--- a/crates/coordination/src/consensus/replica.rs
+++ b/crates/coordination/src/consensus/replica.rs
@@ -33,6 +33,9 @@
     pub chunk_bytes: usize,
     /// Maximum number of snapshot chunks in flight to one replica.
     pub chunk_window: usize,
+    /// Number of connections on which snapshot chunks to one replica take turns; one alone carries
+    /// about half of a link of 600 Mbit/s.
+    pub chunk_lanes: usize,
     /// Maximum number of append messages with entries in flight to one replica.
     pub window: usize,
     /// Maximum size of the entries in flight to one replica, in bytes; a larger entry is sent
@@ -59,6 +62,7 @@
             batch_bytes: 128 * 1024,
             chunk_bytes: 256 * 1024,
             chunk_window: 12,
+            chunk_lanes: 3,
             window: 8,
             window_bytes: 2 * 1024 * 1024,
             trailing_entries: 2_000,
--- a/crates/coordination/src/consensus/snapshot.rs
+++ b/crates/coordination/src/consensus/snapshot.rs
@@ -1,12 +1,22 @@
 //! Snapshot transfer to replicas that need entries which the leader has compacted.
 //!
 //! A snapshot is sent in chunks. The leader requests each chunk from its caller when the
-//! receiver's window allows, and the receiver passes each chunk to its caller on arrival, so
-//! that neither side holds the entire state in memory.
+//! receiver's window allows, and the receiver passes each chunk to its caller in order, so that
+//! neither side holds the entire state in memory.
+//!
+//! A single connection carries less than the link does: its window is small, and one lost packet
+//! stops it. Chunks therefore take turns on several connections, the lanes, and a receiver keeps
+//! those that arrive early. It says so with a reply that earlier builds ignore; a receiver that has
+//! not said so is sent all chunks on one connection.
 
 use crate::Millis;
 use crate::consensus::message::{Message, Meta};
 use crate::consensus::replica::{Id, Replica};
+use std::collections::BTreeMap;
+
+/// Added to the snapshot number of a reply which tells that the receiver takes chunks in any order.
+/// Earlier builds ignore it as a reply to another snapshot.
+const ANY_ORDER: u64 = 1 << 63;
 
 /// Request for a snapshot chunk that the caller must read and pass to
 /// [`Replica::send_chunk`].
@@ -41,6 +51,8 @@
     acknowledged: u64,
     /// Offset up to which chunks were requested from the caller.
     requested: u64,
+    /// Whether the receiver takes chunks in any order.
+    is_any_order: bool,
 }
 
 impl Outgoing {
@@ -57,6 +69,24 @@
     number: u64,
     /// Contiguous bytes received so far.
     received: u64,
+    /// Chunks that arrived before the one at `received`, by offset.
+    ahead: BTreeMap<u64, Vec<u8>>,
+}
+
+impl Incoming {
+    /// Takes a chunk; returns the chunks that are next in order. A chunk that lies more than
+    /// `max_ahead` bytes ahead is dropped, and requested again by its sender.
+    fn take(&mut self, offset: u64, data: Vec<u8>, max_ahead: u64) -> Vec<Chunk> {
+        if (self.received..=self.received.saturating_add(max_ahead)).contains(&offset) {
+            self.ahead.insert(offset, data);
+        }
+        let mut chunks = Vec::new();
+        while let Some(data) = self.ahead.remove(&self.received) {
+            chunks.push(Chunk { offset: self.received, data });
+            self.received += chunks.last().map_or(0, |chunk| chunk.data.len() as u64);
+        }
+        chunks
+    }
 }
 
 impl Replica {
@@ -74,7 +104,14 @@
         };
         peer.is_snapshot_pending = false;
         peer.rewind_to(meta.index + 1);
-        peer.snapshot = Some(Outgoing { meta, number, total, acknowledged: 0, requested: 0 });
+        peer.snapshot = Some(Outgoing {
+            meta,
+            number,
+            total,
+            acknowledged: 0,
+            requested: 0,
+            is_any_order: false,
+        });
         self.request_chunks(to);
     }
 
@@ -84,6 +121,22 @@
         peers.filter_map(|(id, peer)| Some((*id, peer.snapshot.as_ref()?.meta.index)))
     }
 
+    /// Lane on which to send a message: 0 for those that must arrive in order, otherwise one of
+    /// [`crate::consensus::Settings::chunk_lanes`].
+    pub fn lane(&self, to: Id, message: &Message) -> usize {
+        let Message::Chunk { offset, .. } = message else {
+            return 0;
+        };
+        let peer = self.leadership().and_then(|leadership| leadership.peers.get(&to));
+        let outgoing = peer.and_then(|peer| peer.snapshot.as_ref());
+        if !outgoing.is_some_and(|outgoing| outgoing.is_any_order) {
+            return 0;
+        }
+        let number = offset / (self.settings.chunk_bytes.max(1) as u64);
+        let lanes = self.settings.chunk_lanes.max(1) as u64;
+        1 + usize::try_from(number % lanes).unwrap_or(0)
+    }
+
     /// Requests as many chunks from the caller as fit into the receiver's window.
     pub(crate) fn request_chunks(&mut self, to: Id) {
         let (len, window, now) =
@@ -134,9 +187,14 @@
             return;
         };
         peer.last_reply = Some(now);
-        let Some(outgoing) = peer.snapshot.as_mut().filter(|s| s.number == number) else {
+        let is_same = |outgoing: &&mut Outgoing| outgoing.number == number & !ANY_ORDER;
+        let Some(outgoing) = peer.snapshot.as_mut().filter(is_same) else {
             return;
         };
+        if number & ANY_ORDER != 0 {
+            outgoing.is_any_order = true;
+            return;
+        }
         // A restarted receiver acknowledges less than before.
         let has_restarted = offset < outgoing.acknowledged;
         let has_advanced = offset > outgoing.acknowledged;
@@ -195,15 +253,23 @@
             return;
         }
         let ChunkMessage { term, number, offset, .. } = message;
-        let is_intact = *blake3::hash(&message.data).as_bytes() == message.digest;
-        let is_same = |incoming: &Incoming| (incoming.term, incoming.number) == (term, number);
-        let mut incoming = match self.incoming.take().filter(is_same) {
+        let known = self.incoming.as_ref().map(|incoming| (incoming.term, incoming.number));
+        if known.is_some_and(|known| known > (term, number)) {
+            // A late chunk of an earlier snapshot, which the current one replaces.
+            return;
+        }
+        let mut incoming = match self.incoming.take().filter(|_| known == Some((term, number))) {
             Some(incoming) => incoming,
-            None => Incoming { term, number, received: 0 },
+            None => {
+                let reply = Message::ChunkReply { term, number: number | ANY_ORDER, offset: 0 };
+                self.ready.messages.push((from, reply));
+                Incoming { term, number, received: 0, ahead: BTreeMap::new() }
+            }
         };
-        if is_intact && offset == incoming.received {
-            incoming.received += message.data.len() as u64;
-            self.ready.chunks.push(Chunk { offset, data: message.data });
+        let is_intact = *blake3::hash(&message.data).as_bytes() == message.digest;
+        if is_intact {
+            let max_ahead = self.settings.chunk_window as u64 * self.settings.chunk_bytes as u64;
+            self.ready.chunks.extend(incoming.take(offset, message.data, max_ahead));
         }
         if incoming.received >= message.total {
             self.install(from, message.meta);
--- a/crates/coordination/tests/catching_up.rs
+++ b/crates/coordination/tests/catching_up.rs
@@ -2,7 +2,7 @@
 
 use crate::consensus::{deliver_messages, elect, persist_ready, replica};
 use coordination::consensus::{Entry, Message, Refusal, Replica, Settings};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 /// One-way delay of the simulated link, in milliseconds.
 const DELAY_MS: u64 = 5;
@@ -14,6 +14,8 @@
     chunk_bytes: u64,
     /// Largest size of the entries on their way at one time.
     in_flight_bytes: u64,
+    /// Lanes on which chunks were sent.
+    lanes: BTreeSet<usize>,
 }
 
 /// Messages between the first and the third replica that are on their way.
@@ -21,6 +23,13 @@
 struct Link {
     messages: VecDeque<(u64, u64, Message)>,
     sent: Sent,
+    /// Additional delay of each lane over the one before it, in milliseconds.
+    lane_delay_ms: u64,
+    /// Whether the third replica is of an earlier build, which takes chunks in order only and does
+    /// not reply to the leader that it takes them in any order.
+    is_earlier_build: bool,
+    /// Offset up to which the third replica has passed on chunks.
+    passed_on: u64,
 }
 
 fn entry_bytes(message: &Message) -> u64 {
@@ -44,7 +53,13 @@
                     if let Message::Chunk { data, .. } = &message {
                         self.sent.chunk_bytes += data.len() as u64;
                     }
-                    self.messages.push_back((now + DELAY_MS, to, message));
+                    let lane = leader.lane(to, &message);
+                    if matches!(message, Message::Chunk { .. }) {
+                        self.sent.lanes.insert(lane);
+                    }
+                    let at = now + DELAY_MS + self.lane_delay_ms * lane as u64;
+                    let next = self.messages.partition_point(|(due, ..)| *due <= at);
+                    self.messages.insert(next, (at, to, message));
                 }
             }
             for peer in ready.snapshot_targets {
@@ -69,9 +84,17 @@
             }
             learner.receive(now, 1, message);
             let ready = persist_ready(learner);
+            for chunk in ready.chunks {
+                assert_eq!(chunk.offset, self.passed_on, "chunks are passed on in order");
+                self.passed_on += chunk.data.len() as u64;
+            }
             for (to, reply) in ready.messages.into_iter().chain(ready.persisted_messages) {
-                if to == 1 {
-                    self.messages.push_back((now + DELAY_MS, to, reply));
+                let is_unknown = |number: u64| self.is_earlier_build && number > u64::MAX / 2;
+                if to == 1
+                    && !matches!(reply, Message::ChunkReply { number, .. } if is_unknown(number))
+                {
+                    let next = self.messages.partition_point(|(due, ..)| *due <= now + DELAY_MS);
+                    self.messages.insert(next, (now + DELAY_MS, to, reply));
                 }
             }
         }
@@ -151,6 +174,26 @@
     assert!(rounds <= 9, "48 chunks took {rounds} round trips, two of them for entries");
 }
 
+#[test]
+fn chunks_that_overtake_each_other_on_several_connections_are_sent_once() {
+    let (mut leader, mut learner) = leader_and_learner(40, 500_000);
+    let state_bytes = 48 * Settings::default().chunk_bytes as u64 + 5;
+    let mut link = Link { lane_delay_ms: 7, ..Link::default() };
+    link.catch_up(&mut leader, &mut learner, state_bytes);
+    assert_eq!((link.passed_on, link.sent.chunk_bytes), (state_bytes, state_bytes));
+    assert!(link.sent.lanes.len() > 2, "{:?}", link.sent);
+}
+
+#[test]
+fn replica_of_an_earlier_build_is_sent_chunks_in_order() {
+    let (mut leader, mut learner) = leader_and_learner(40, 500_000);
+    let state_bytes = 48 * Settings::default().chunk_bytes as u64;
+    let mut link = Link { lane_delay_ms: 7, is_earlier_build: true, ..Link::default() };
+    link.catch_up(&mut leader, &mut learner, state_bytes);
+    assert_eq!((link.passed_on, link.sent.chunk_bytes), (state_bytes, state_bytes));
+    assert_eq!(link.sent.lanes, BTreeSet::from([0]));
+}
+
 #[test]
 fn the_log_is_kept_by_bytes_and_by_count() {
     let (mut leader, _) = leader_and_learner(40, 1_000_000);
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -69,6 +69,12 @@
     /// Returns the storage error that stops the replica.
     fn apply(&mut self, data: &[u8]) -> Result<Vec<u8>, Storage>;
 
+    /// Whether the state has room for the effects of the command `data`. Only the leader asks, before
+    /// it appends the command, so that the answer may differ between replicas.
+    fn has_room(&self, _data: &[u8]) -> bool {
+        true
+    }
+
     /// Answers the encoded query `data` from the applied state.
     ///
     /// # Errors
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -29,6 +29,10 @@
 /// work of one query.
 const MAX_CHAIN_TURNS: usize = 4_096;
 
+/// Default limit of the content of all retained turns, in bytes; docs/CAPACITY.md has the time that
+/// a new replica takes to receive as much.
+const MAX_RETAINED_BYTES: u64 = 208 * 1024 * 1024;
+
 /// Token budget of one program.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Program {
@@ -80,6 +84,9 @@
     programs: Map<String, Program>,
     /// Retained turns by id.
     retained: Map<String, Turn>,
+    /// Total size of the content of retained turns, in bytes.
+    retained_bytes: u64,
+    max_retained_bytes: u64,
     streams: Streams,
     history: Box<dyn Store>,
     /// Highest `now_ms` of all applied commands, so that a clock set back expires nothing.
@@ -94,6 +101,8 @@
         Self {
             programs: Map::default(),
             retained: Map::default(),
+            retained_bytes: 0,
+            max_retained_bytes: MAX_RETAINED_BYTES,
             streams: Streams::default(),
             history,
             now_ms: 0,
@@ -101,6 +110,13 @@
         }
     }
 
+    /// Sets the size of the content of retained turns above which no turn that is to be retained
+    /// may begin, in bytes.
+    #[must_use]
+    pub fn with_max_retained_bytes(self, max_retained_bytes: u64) -> Self {
+        Self { max_retained_bytes, ..self }
+    }
+
     /// Applies one command.
     ///
     /// # Errors
@@ -228,6 +244,7 @@
             self.extend_retention(previous, expires_ms);
         }
         let item = self.history.append(&record.content)?;
+        self.retained_bytes += item.len;
         self.retained.insert(id, Turn { previous: record.previous, item, expires_ms });
         Ok(())
     }
@@ -260,9 +277,14 @@
         self.last_expiry_ms = now_ms;
         self.programs.retain(|_, program| program.expires_ms > now_ms);
         self.retained.retain(|_, turn| turn.expires_ms > now_ms);
+        self.count_retained();
         self.streams.remove_expired(now_ms);
     }
 
+    fn count_retained(&mut self) {
+        self.retained_bytes = self.retained.values().map(|turn| turn.item.len).sum();
+    }
+
     /// Concatenated content of a turn and all turns before it, oldest first; `None` if one of
     /// them is not retained or the chain is longer than `MAX_CHAIN_TURNS`.
     ///
@@ -301,6 +323,7 @@
         self.last_expiry_ms = snapshot.now_ms;
         self.programs = snapshot.programs;
         self.retained = snapshot.retained;
+        self.count_retained();
         self.streams = snapshot.streams;
     }
 }
@@ -311,6 +334,13 @@
         machine::encode(&reply)
     }
 
+    fn has_room(&self, data: &[u8]) -> bool {
+        // The end of a turn is always accepted: the turn has run, and its caller was promised that
+        // it is retained.
+        self.retained_bytes < self.max_retained_bytes
+            || !matches!(machine::decode(data), Ok(Command::Begin(begin)) if begin.retention_ms > 0)
+    }
+
     fn query(&self, data: &[u8]) -> Result<Vec<u8>, Storage> {
         let Query::Chain(id) = machine::decode(data)?;
         machine::encode(&self.chain(&id)?.map(ByteBuf::from))
@@ -327,7 +357,7 @@
     }
 
     fn export_bytes(&self, saved: &[u8]) -> u64 {
-        self.retained.values().fold(saved.len() as u64, |sum, turn| sum + turn.item.len)
+        self.retained_bytes + saved.len() as u64
     }
 
     fn prune(&mut self) -> Result<(), Storage> {
@@ -348,7 +378,7 @@
     }
 
     fn importer(&self) -> Result<Box<dyn Import>, Storage> {
-        Ok(Box::new(Importer::new(self.history.staging()?)))
+        Ok(Box::new(Importer::new(self.history.staging()?)?))
     }
 
     fn import(&mut self, received: &[u8]) -> Result<(), Storage> {
--- a/crates/state/src/turn/transfer.rs
+++ b/crates/state/src/turn/transfer.rs
@@ -2,12 +2,18 @@
 //!
 //! The stream is the length of the index, the index, and the contents of all retained turns
 //! in the order of their locators. In the index, a locator's offset counts from the start of
-//! the contents. Neither side holds more than the index and one chunk in memory.
+//! the contents. Neither side holds more than the index and a few chunks in memory.
+//!
+//! The receiver verifies contents as they arrive. A thread of its own writes and syncs them, so
+//! that a disk which is slower than the link doesn't hold up the link, and that little is left to
+//! sync after the last chunk.
 
 use crate::error::Storage;
-use crate::history::{Locator, Reader, Store};
+use crate::history::{Locator, Position, Reader, Store};
 use crate::machine::{self, Export, Import};
 use crate::turn::machine::{Snapshot, Turn};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::JoinHandle;
 
 /// Size of the length field before the index, in bytes.
 const INDEX_LEN_BYTES: usize = 8;
@@ -15,6 +21,13 @@
 /// Maximum size of the index, in bytes; enough for half a million turns and programs.
 const MAX_INDEX_BYTES: usize = 64 * 1024 * 1024;
 
+/// Bytes written between two syncs of the received contents; about 70 ms of a disk of 120 MB/s.
+const SYNC_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Maximum number of batches of received items that wait to be written; a batch has about the size
+/// of a chunk.
+const MAX_WAITING_BATCHES: usize = 16;
+
 /// A run of adjacent items in one segment.
 struct Extent {
     /// Offset in the exported stream, in bytes.
@@ -96,14 +109,83 @@
     snapshot: Snapshot,
     /// Ids of the retained turns, in the order of their contents in the stream.
     turn_ids: Vec<String>,
-    /// Number of turns whose content is written to the store.
-    written_count: usize,
+    /// Number of turns whose content is verified and on its way to the store.
+    received_count: usize,
+}
+
+/// Items as received, one after the other, with their lengths.
+type Batch = (Vec<u8>, Vec<usize>);
+
+/// A thread that appends items to a store. Dropping it waits for the thread to end.
+struct Writer {
+    /// `None` once the last item is sent.
+    batches: Option<SyncSender<Batch>>,
+    thread: Option<JoinHandle<Result<Written, Storage>>>,
+}
+
+/// Items that a [`Writer`] has made durable.
+struct Written {
+    locators: Vec<Locator>,
+    end: Position,
+}
+
+impl Writer {
+    fn start(store: Box<dyn Store>) -> Result<Self, Storage> {
+        let (batches, inbox) = sync_channel(MAX_WAITING_BATCHES);
+        let thread = std::thread::Builder::new().name("snapshot-import".to_owned());
+        let thread = thread.spawn(move || write_batches(store, &inbox))?;
+        Ok(Self { batches: Some(batches), thread: Some(thread) })
+    }
+
+    /// Queues a batch; waits while too many are queued.
+    fn write(&mut self, batch: Batch) -> Result<(), Storage> {
+        let is_sent = self.batches.as_ref().is_some_and(|batches| batches.send(batch).is_ok());
+        if is_sent { Ok(()) } else { self.finish().and(Err(Storage::Stopped)) }
+    }
+
+    /// Waits until all batches are durable.
+    fn finish(&mut self) -> Result<Written, Storage> {
+        self.batches = None;
+        let thread = self.thread.take().ok_or(Storage::Stopped)?;
+        thread.join().map_err(|_| Storage::Stopped)?
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        // What an abandoned import wrote is part of no state, so its error concerns nobody; a disk
+        // that fails refuses the next write as well.
+        if self.thread.is_some() {
+            drop(self.finish());
+        }
+    }
+}
+
+/// Appends batches to the store until their channel is closed.
+fn write_batches(mut store: Box<dyn Store>, inbox: &Receiver<Batch>) -> Result<Written, Storage> {
+    let (mut locators, mut unsynced) = (Vec::new(), 0);
+    for (bytes, lens) in inbox {
+        let mut rest = bytes.as_slice();
+        let mut items = Vec::with_capacity(lens.len());
+        for len in lens {
+            let (item, after) = rest.split_at_checked(len).ok_or(Storage::Stopped)?;
+            items.push(item);
+            rest = after;
+        }
+        locators.extend(store.append_all(&items)?);
+        unsynced += bytes.len() as u64;
+        if unsynced >= SYNC_BYTES {
+            store.sync()?;
+            unsynced = 0;
+        }
+    }
+    Ok(Written { locators, end: store.sync()? })
 }
 
 /// Receiving side: writes contents to a store as they arrive.
 pub(crate) struct Importer {
-    store: Box<dyn Store>,
-    /// Received bytes that are not yet decoded or written.
+    writer: Writer,
+    /// Received bytes that are not yet decoded or verified.
     buffer: Vec<u8>,
     /// The index; `None` until it is received completely.
     index: Option<Index>,
@@ -111,8 +193,8 @@
 
 impl Importer {
     /// Creates an import that writes contents to `store`.
-    pub(crate) fn new(store: Box<dyn Store>) -> Self {
-        Self { store, buffer: Vec::new(), index: None }
+    pub(crate) fn new(store: Box<dyn Store>) -> Result<Self, Storage> {
+        Ok(Self { writer: Writer::start(store)?, buffer: Vec::new(), index: None })
     }
 
     /// Decodes the index once it is received completely.
@@ -132,19 +214,19 @@
             snapshot.retained.iter().map(|(id, turn)| (turn.item.offset, id)).collect();
         turn_ids.sort_unstable();
         let turn_ids = turn_ids.into_iter().map(|(_, id)| id.clone()).collect();
-        self.index = Some(Index { snapshot, turn_ids, written_count: 0 });
+        self.index = Some(Index { snapshot, turn_ids, received_count: 0 });
         self.buffer.drain(..INDEX_LEN_BYTES + len);
         Ok(())
     }
 
-    /// Verifies and writes the items that are received completely.
+    /// Verifies the items that are received completely, and passes them on to be written.
     fn write_complete_items(&mut self) -> Result<(), Storage> {
         let Some(index) = &mut self.index else {
             return Ok(());
         };
-        let mut items = Vec::new();
+        let mut lens = Vec::new();
         let mut rest = self.buffer.as_slice();
-        for id in &index.turn_ids[index.written_count..] {
+        for id in &index.turn_ids[index.received_count..] {
             let Some(turn) = index.snapshot.retained.get(id) else {
                 return Err(corrupt(0));
             };
@@ -155,20 +237,17 @@
             if crc32fast::hash(item) != turn.item.crc {
                 return Err(corrupt(turn.item.offset));
             }
-            items.push(item);
+            lens.push(len);
             rest = after;
         }
-        let locators = self.store.append_all(&items)?;
-        for locator in locators {
-            let id = &index.turn_ids[index.written_count];
-            if let Some(turn) = index.snapshot.retained.get_mut(id) {
-                turn.item = locator;
-            }
-            index.written_count += 1;
+        if lens.is_empty() {
+            return Ok(());
         }
-        let written = self.buffer.len() - rest.len();
-        self.buffer.drain(..written);
-        Ok(())
+        index.received_count += lens.len();
+        let rest = rest.to_vec();
+        let mut complete = std::mem::replace(&mut self.buffer, rest);
+        complete.truncate(complete.len() - self.buffer.len());
+        self.writer.write((complete, lens))
     }
 }
 
@@ -185,10 +264,16 @@
         let Some(mut index) = self.index.take().filter(|_| self.buffer.is_empty()) else {
             return Err(corrupt(0));
         };
-        if index.written_count < index.turn_ids.len() {
+        let written = self.writer.finish()?;
+        if written.locators.len() < index.turn_ids.len() {
             return Err(corrupt(0));
         }
-        index.snapshot.history = self.store.sync()?;
+        for (id, locator) in index.turn_ids.iter().zip(written.locators) {
+            if let Some(turn) = index.snapshot.retained.get_mut(id) {
+                turn.item = locator;
+            }
+        }
+        index.snapshot.history = written.end;
         machine::encode(&index.snapshot)
     }
 }
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -108,6 +108,26 @@
     assert_eq!(continue_from(&mut turns, "child", 300_000), Reply::NoSuchTurn);
 }
 
+#[test]
+fn no_turn_begins_while_too_many_bytes_are_retained_but_those_under_way_end() {
+    let mut turns = turns().with_max_retained_bytes(10);
+    let has_room = |turns: &Turns, command: &Command| {
+        turns.has_room(&state::machine::encode(command).unwrap())
+    };
+    assert!(has_room(&turns, &begin("a", 1, 1)));
+    retain(&mut turns, "root", None, 1_000);
+    retain(&mut turns, "child", Some("root"), 2_000);
+    assert!(!has_room(&turns, &begin("b", 1, 3_000)));
+    assert!(has_room(&turns, &end("a", 1, 3_000)));
+    let unretained = Command::Begin(Begin { turn: "c".into(), now_ms: 3_000, ..Begin::default() });
+    assert!(has_room(&turns, &unretained));
+    let mut copy = self::turns().with_max_retained_bytes(10);
+    util::transfer_state(&turns, &mut copy, 1_000);
+    assert!(!has_room(&copy, &begin("b", 1, 3_000)), "the limit holds after a transfer");
+    retain(&mut turns, "late", None, 200_000);
+    assert!(has_room(&turns, &begin("b", 1, 200_000)), "expired turns leave room");
+}
+
 #[test]
 fn a_clock_that_jumps_back_expires_nothing() {
     let mut turns = turns();
--- a/crates/transport/src/inspect.rs
+++ b/crates/transport/src/inspect.rs
@@ -102,6 +102,7 @@
                 "last_index": status.last_index, "base_index": status.base_index,
                 "members": status.members, "syncs": status.syncs,
                 "sync_micros": status.sync_micros, "bytes_written": status.bytes_written,
+                "log_bytes": status.log_bytes, "refused_full": status.refused_full,
                 "fault": status.fault,
                 "machine": serde_json::from_str::<Value>(&state_machine).unwrap_or(Value::Null),
             }));
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -523,6 +523,7 @@
                 "votes": status.is_voter, "commit": status.commit, "applied": status.applied,
                 "leader": status.leader, "members": status.members, "syncs": status.syncs,
                 "sync_micros": status.sync_micros, "bytes_written": status.bytes_written,
+                "log_bytes": status.log_bytes, "refused_full": status.refused_full,
                 "fault": status.fault,
             })
         });
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) spent_tokens: Counter,
     commit: Family<GroupLabel, Gauge>,
     lag: Family<GroupLabel, Gauge>,
+    log_bytes: Family<GroupLabel, Gauge>,
+    refused_full: Family<GroupLabel, Gauge>,
     syncs: Family<GroupLabel, Gauge>,
     sync_micros: Family<GroupLabel, Gauge>,
     bytes: Family<GroupLabel, Gauge>,
@@ -108,6 +110,10 @@
         let registry = &mut self.registry;
         registry.register("journal_commit", "Commit index", self.commit.clone());
         registry.register("journal_lag", "Entries appended and not applied", self.lag.clone());
+        let help = "Bytes of entries in memory";
+        registry.register("journal_log_bytes", help, self.log_bytes.clone());
+        let help = "Commands refused because too many bytes wait for a quorum or are retained";
+        registry.register("journal_refused_full", help, self.refused_full.clone());
         registry.register("journal_syncs", "Syncs", self.syncs.clone());
         registry.register(
             "journal_sync_micros",
@@ -130,6 +136,8 @@
         let rows = [
             (&self.commit, status.commit),
             (&self.lag, lag),
+            (&self.log_bytes, status.log_bytes),
+            (&self.refused_full, status.refused_full),
             (&self.syncs, status.syncs),
             (&self.sync_micros, status.sync_micros),
             (&self.bytes, status.bytes_written),
--- a/crates/transport/src/replica/handle.rs
+++ b/crates/transport/src/replica/handle.rs
@@ -10,6 +10,13 @@
 pub(crate) trait MessageSender: Send + Sync {
     /// Sends a message to the instance `to`. The message may be lost; consensus repeats it.
     fn send(&self, to: &str, envelope: Envelope);
+
+    /// Sends a message on one of several lanes, which keep no order among each other; messages on
+    /// lane 0 keep it with those of [`MessageSender::send`]. A transport without lanes sends all
+    /// messages in order.
+    fn send_on(&self, _lane: usize, to: &str, envelope: Envelope) {
+        self.send(to, envelope);
+    }
 }
 
 /// Result of a command or query.
@@ -58,7 +65,8 @@
     pub(crate) base_index: u64,
     /// Size of the entries in memory, in bytes.
     pub(crate) log_bytes: u64,
-    /// Commands refused since the start because too many bytes waited for a quorum.
+    /// Commands refused since the start because too many bytes waited for a quorum or
+    /// were retained.
     pub(crate) refused_full: u64,
     /// Name or address of the instance that leads.
     pub(crate) leader: Option<String>,
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -171,6 +171,9 @@
                 }
             }
             Job::Submit { command, reply } => {
+                if self.replica.is_leader() && !self.state_machine.has_room(&command) {
+                    return self.refuse(Refusal::Full, reply);
+                }
                 let token = self.next_token();
                 match self.replica.propose(now, token, command) {
                     Ok(()) => drop(self.pending.insert(token, reply)),
@@ -205,12 +208,11 @@
     fn refuse(&mut self, refusal: Refusal, reply: oneshot::Sender<Outcome>) {
         if refusal == Refusal::Full {
             if self.status.refused_full.is_multiple_of(REFUSALS_PER_LOG_LINE) {
-                let waiting = self.replica.last_index() - self.replica.commit();
                 tracing::warn!(
                     group = self.group,
-                    waiting,
+                    waiting = self.replica.last_index() - self.replica.commit(),
                     refused = self.status.refused_full,
-                    "command refused: too many bytes wait for a quorum"
+                    "command refused: too many bytes wait for a quorum or are retained"
                 );
             }
             self.status.refused_full += 1;
@@ -360,6 +362,8 @@
     fn receive_chunk(&mut self, chunk: &Chunk) -> Result<(), Storage> {
         if chunk.offset == 0 {
             tracing::info!(group = self.group, "receiving a snapshot");
+            // An import under way ends before another one starts in the same files.
+            self.import = None;
             self.import = Some(self.state_machine.importer()?);
         }
         self.import.as_mut().map_or(Ok(()), |import| import.receive(&chunk.data))
@@ -377,8 +381,9 @@
     fn send(&self, messages: Vec<(Id, Message)>) {
         for (to, message) in messages {
             if let Some(instance) = self.instance_of(to) {
+                let lane = self.replica.lane(to, &message);
                 let envelope = Envelope { group: self.group, from: self.id, to, message };
-                self.message_sender.send(&instance, envelope);
+                self.message_sender.send_on(lane, &instance, envelope);
             }
         }
     }
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -152,7 +152,7 @@
 pub(crate) struct Transport {
     address: String,
     runtime: tokio::runtime::Handle,
-    peers: Mutex<Map<String, Queue>>,
+    peers: Mutex<Map<(String, usize), Queue>>,
     handler: OnceLock<Arc<dyn Handler>>,
     /// Number of the next call.
     next_call: AtomicU64,
@@ -195,15 +195,16 @@
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let frame = encode(Kind::Call, number, request).ok_or(Unreachable)?;
         let (reply, response) = oneshot::channel();
-        self.send(to, Outgoing::Call { number, frame, reply })?;
+        self.send(0, to, Outgoing::Call { number, frame, reply })?;
         let response = tokio::time::timeout(timeout, response).await.map_err(|_| Unreachable)?;
         response.map_err(|_| Unreachable)
     }
 
-    /// Queues a frame for a peer. Starts the task that connects to the peer on first use.
-    fn send(&self, to: &str, outgoing: Outgoing) -> Result<(), Unreachable> {
+    /// Queues a frame for a peer. Starts the task that connects to the peer on first use; each lane
+    /// has a connection of its own.
+    fn send(&self, lane: usize, to: &str, outgoing: Outgoing) -> Result<(), Unreachable> {
         let mut peers = self.peers.lock().map_err(|_| Unreachable)?;
-        let queue = peers.entry(to.to_owned()).or_insert_with(|| {
+        let queue = peers.entry((to.to_owned(), lane)).or_insert_with(|| {
             let (sender, inbox) = mpsc::channel(MAX_QUEUED_FRAMES);
             let queued_bytes = Arc::new(AtomicUsize::new(0));
             let (local, peer) = (self.address.clone(), to.to_owned());
@@ -308,9 +309,13 @@
 
 impl MessageSender for Transport {
     fn send(&self, to: &str, envelope: Envelope) {
+        self.send_on(0, to, envelope);
+    }
+
+    fn send_on(&self, lane: usize, to: &str, envelope: Envelope) {
         if let Some(frame) = encode(Kind::OneWay, 0, &Request::Consensus(vec![envelope])) {
             // A message may be lost; consensus repeats it.
-            let _ = Transport::send(self, to, Outgoing::OneWay(frame));
+            let _ = Transport::send(self, lane, to, Outgoing::OneWay(frame));
         }
     }
 }
