feat(platform): setting for the bytes of retained turns

Cause: deployments with slower links of their programs instances need a lower limit than the default.

--- a/crates/state/src/turn/mod.rs
+++ b/crates/state/src/turn/mod.rs
@@ -12,5 +12,5 @@
 mod transfer;
 
 pub use command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation};
-pub use machine::Turns;
+pub use machine::{MAX_RETAINED_BYTES, Turns};
 pub use stream::{Assignment, Origin, Start};
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -162,7 +162,7 @@
         let folder = self.settings.folder.as_ref();
         let folder =
             folder.ok_or_else(|| Error::new("an instance with a replica needs a data folder"))?;
-        let mut replica = Replica::open(group, &self.settings.disk, folder).map_err(Error::new)?;
+        let mut replica = Replica::open(group, &self.settings, folder).map_err(Error::new)?;
         if group == CONTROL
             && replica.is_uninitialized()
             && let Some((id, initial_members)) = control_initial_members(&self.settings)
--- a/crates/transport/src/member/replica.rs
+++ b/crates/transport/src/member/replica.rs
@@ -9,7 +9,6 @@
 use coordination::consensus::{self, Members, initial_id};
 use coordination::membership::{self, Planner};
 use rand::Rng;
-use state::disk::Disk;
 use state::error::Storage;
 use state::machine::StateMachine;
 use state::registry::{Registry, Voter};
@@ -40,9 +39,9 @@
     /// # Errors
     ///
     /// Returns an error if the disk fails.
-    pub(crate) fn open(group: u32, disk: &Arc<dyn Disk>, path: &Path) -> Result<Self, Storage> {
-        let folder = Folder::open(disk.clone(), path)?;
-        let make = |path: &Path| new_state_machine(group, disk, path);
+    pub(crate) fn open(group: u32, settings: &Settings, path: &Path) -> Result<Self, Storage> {
+        let folder = Folder::open(settings.disk.clone(), path)?;
+        let make = |path: &Path| new_state_machine(group, settings, path);
         if let Some(identity) = folder.identity()? {
             match folder.open_group(group, make) {
                 Ok(opened) => return Ok(Self { group, folder, identity, opened }),
@@ -129,11 +128,12 @@
 
 fn new_state_machine(
     group: u32,
-    disk: &Arc<dyn Disk>,
+    settings: &Settings,
     folder: &Path,
 ) -> Result<Box<dyn StateMachine>, Storage> {
     if group == CONTROL {
         return Ok(Box::new(Registry::default()));
     }
-    Ok(Box::new(Turns::new(crate::storage::history(disk.clone(), folder)?)))
+    let history = crate::storage::history(settings.disk.clone(), folder)?;
+    Ok(Box::new(Turns::new(history).with_max_retained_bytes(settings.max_retained_bytes)))
 }
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -40,6 +40,9 @@
     pub election_ms: u64,
     /// Size above which a journal is compacted, in bytes.
     pub compact_bytes: u64,
+    /// Size of the content of all retained turns above which no turn that is to be retained may
+    /// begin, in bytes.
+    pub max_retained_bytes: u64,
     /// Interval between two heartbeats.
     pub heartbeat_interval: Duration,
     /// Time since the last heartbeat after which an instance counts as absent: several lost
@@ -64,6 +67,7 @@
             tolerated_losses: 1,
             election_ms: 400,
             compact_bytes: 8 * 1024 * 1024,
+            max_retained_bytes: state::turn::MAX_RETAINED_BYTES,
             heartbeat_interval: Duration::from_millis(200),
             absence_timeout: Duration::from_millis(600),
         }
