feat(gateway): requests carry a key of an organisation

Cause: a configuration's organisations were not decoded, and keys reached backend servers. Change: organisations are decoded and validated; entries look up the digest of a request's key before they read the body, refuse an unknown one with 401, and send backend servers the organisation's name in place of the key. The ids that callers choose are scoped by the organisation's name, so that another one's turn, budget, affinity and quarantine don't exist for it. An organisation's priority goes before the route's. Without organisations nothing is changed or removed. No load was measured. Conclusion: the wire of keys is whole; taking keys away is in force as soon as an entry has the configuration, not yet beyond.

--- a/crates/protocol/src/routes.rs
+++ b/crates/protocol/src/routes.rs
@@ -3,7 +3,7 @@
 //! Operators always submit a complete [`Config`]. [`Table::new`] validates it and indexes it
 //! for lookups; an invalid configuration is rejected with an [`Error`] that names the fault.
 
-use crate::organisations::Organisation;
+use crate::organisations::{self, Organisation};
 use state::collections::Map;
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,6 +151,9 @@
     /// Two services have the same name.
     #[error("service {0:?} is defined twice")]
     DuplicateService(String),
+    /// The organisations are invalid.
+    #[error(transparent)]
+    Organisations(#[from] organisations::Error),
 }
 
 /// A validated configuration, indexed for lookups.
@@ -161,6 +164,7 @@
     hosts: Map<String, Vec<Arc<Route>>>,
     services: Map<String, Service>,
     limits: Limits,
+    organisations: organisations::Index,
 }
 
 impl Table {
@@ -189,7 +193,9 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self { version: config.version, hosts, services, limits: config.limits })
+        let organisations = organisations::Index::new(config.organisations)?;
+        let (version, limits) = (config.version, config.limits);
+        Ok(Self { version, hosts, services, limits, organisations })
     }
 
     /// Returns the version of the configuration.
@@ -202,6 +208,11 @@
         &self.limits
     }
 
+    /// Returns the organisations whose keys callers present.
+    pub fn organisations(&self) -> &organisations::Index {
+        &self.organisations
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -60,6 +60,20 @@
     pub server: &'a str,
     /// Time remaining until the deadline of the request.
     pub remaining: Duration,
+    /// Whose request it is.
+    pub identity: Identity<'a>,
+}
+
+/// Whose request it is, as far as keys are checked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Identity<'a> {
+    /// No keys are checked: what the caller sent is passed on.
+    #[default]
+    Unchecked,
+    /// The route needs no key.
+    Public,
+    /// The organisation of this name holds the key that the caller presented.
+    Organisation(&'a str),
 }
 
 /// Classification of a backend server's response by its head.
@@ -108,6 +122,10 @@
     /// Returns a refusal if the head is malformed or contradicts itself.
     fn metadata(&self, head: &request::Parts) -> Result<Metadata, Refusal>;
 
+    /// Returns the key of an organisation that the caller presents; `None` unless there is exactly
+    /// one.
+    fn key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
+
     /// Returns the headers of the request to the backend server, given the caller's headers
     /// without the hop-by-hop ones.
     fn request_headers(&self, headers: HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -109,6 +109,7 @@
         versions: Versions::Any,
         source,
         organisation: None,
+        checks_keys: false,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle_until_stopped(&metadata, head, body).await,
@@ -149,8 +150,9 @@
     pub(super) versions: Versions,
     pub(super) source: Source,
     /// Organisation whose key the caller presented; `None` if no keys are checked.
-    #[expect(dead_code, reason = "read by the key check and the usage caps, which follow")]
     pub(super) organisation: Option<Arc<Organisation>>,
+    /// Whether keys are checked, on this route or others.
+    pub(super) checks_keys: bool,
 }
 
 /// Who sent a request to this entry.
@@ -253,6 +255,9 @@
             return Err(Refusal::new(Kind::NotFound, "no route matches this host and path").into());
         };
         self.progress.route.clone_from(&route.name);
+        self.authenticate(&table, &route, &head.headers)?;
+        let scoped = self.scope(metadata);
+        let metadata = scoped.as_ref();
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = self.progress.started + timeout;
         let body = read_body(body, table.limits().body_bytes, deadline).await?;
@@ -270,7 +275,7 @@
         let caller = metadata.program.as_ref().or(metadata.session.as_ref());
         let subject = Arc::new(Subject {
             method: head.method.clone(),
-            host: metadata.host.clone(),
+            host: self.scope_id(&metadata.host),
             path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
             body: concatenate(&prior, &body),
             caller: caller.cloned(),
@@ -350,7 +355,7 @@
             return Ok(Begun::default());
         }
         let begin = Begin {
-            turn: metadata.id.clone(),
+            turn: self.scope_id(&metadata.id),
             reservation,
             previous,
             retention_ms: millis(route.retention),
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod list;
 mod loss;
 mod metrics;
+mod organisations;
 mod origin;
 pub(crate) mod pool;
 mod probe;
@@ -28,7 +29,7 @@
 mod waiter;
 
 pub use connector::{ConnectFuture, Connector, Direct};
-pub use dialect::{Adapter, Budget, Dispatch, Metadata, Refusal, Resumption, Verdict};
+pub use dialect::{Adapter, Budget, Dispatch, Identity, Metadata, Refusal, Resumption, Verdict};
 pub use entry::{Entry, Settings};
 pub use list::{List, ListError, ListFuture};
 pub use stories::Record;
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -232,7 +232,7 @@
             software_version: None,
             is_resumption,
         };
-        let class = Class { priority: outbound.route.priority, is_new };
+        let class = Class { priority: self.priority(outbound.route), is_new };
         if let Some(attempt) = self.place(outbound, &query, class, None).await? {
             return Ok(Some(attempt));
         }
@@ -358,7 +358,8 @@
             if remaining < MIN_DISPATCH_TIME {
                 return AttemptResult::Unavailable;
             }
-            let dispatch = Dispatch { id: &outbound.metadata.id, server: &id, remaining };
+            let identity = self.identity();
+            let dispatch = Dispatch { id: &outbound.metadata.id, server: &id, remaining, identity };
             let Some(request) = self.build_request(outbound, &dispatch) else {
                 return AttemptResult::Unavailable;
             };
