feat(gateway): keys that are taken away are refused in time everywhere

Cause: an entry that was cut off or frozen went on accepting a key that a newer configuration had taken away. The key and the lease are checked again right before each send and forward. Without a lease keys are refused with 503 and a retry time, never with 401. Metrics by organisation and of the lease; log lines when it is lost and held again. Processor time not measured.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions. The transport crate performs the I/O. Tests drive the same code with a simulated
 //! clock and network.
 
+pub mod authority;
 pub mod consensus;
 pub mod content;
 pub mod entry;
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
 
+mod authority;
 mod consensus;
 mod entry;
 mod faults;
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -4,6 +4,7 @@
 //! the instance does not have yet. Both are soft state: which instances are present and ready
 //! follows from recent heartbeats only and is never read from a file.
 
+use coordination::authority::Confirmation;
 use coordination::consensus::Id;
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
@@ -297,6 +298,10 @@
     /// which do so for entries only, neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub compares_roster: bool,
+    /// Newest confirmation of a revision that the control instance knows; `None` if none is needed.
+    /// Earlier builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub confirmation: Option<Confirmation>,
 }
 
 /// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -3,6 +3,7 @@
 //! Instances of two builds run side by side during an upgrade, and a build reads what another one
 //! has stored. So each example must encode to, and decode from, the same bytes in all builds.
 
+use coordination::authority::Confirmation;
 use coordination::consensus::{Entry, HardState, Members, Message, Meta, Payload, Peer};
 use coordination::content::{self, Content};
 use coordination::membership::Candidate;
@@ -207,6 +208,7 @@
         quarantine: quarantine::Report::default(),
         serves_parts: false,
         compares_roster: false,
+        confirmation: None,
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -250,7 +252,13 @@
     let relayed = presence::Reply { quarantine: quarantine(), ..extended.clone() };
     let serving = presence::Reply { serves_parts: true, ..relayed.clone() };
     let comparing = presence::Reply { compares_roster: true, ..serving.clone() };
-    check("response-heartbeat-compares-roster", &Response::HeartbeatReply(Box::new(comparing)));
+    let confirmation = Some(Confirmation { revision: 3, age_ms: 300 });
+    let confirming = presence::Reply { confirmation, ..comparing.clone() };
+    check("response-heartbeat-confirmation", &Response::HeartbeatReply(Box::new(confirming)));
+    check_without_tail(
+        "response-heartbeat-compares-roster",
+        &Response::HeartbeatReply(Box::new(comparing)),
+    );
     check_without_tail(
         "response-heartbeat-serves-parts",
         &Response::HeartbeatReply(Box::new(serving)),
--- a/crates/state/src/registry/machine.rs
+++ b/crates/state/src/registry/machine.rs
@@ -60,11 +60,14 @@
     },
 }
 
-/// A read of the registry; answered by a [`Registry`].
+/// A read of the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Query {
-    /// The complete registry.
+    /// The complete registry; answered by a [`Registry`].
     All,
+    /// The revision, as a `u64`. An instance asks only its own replica for it, since earlier builds
+    /// don't know it.
+    Revision,
 }
 
 /// State that all instances agree on.
@@ -126,8 +129,10 @@
     }
 
     fn query(&self, data: &[u8]) -> Result<Vec<u8>, Storage> {
-        let Query::All = machine::decode(data)?;
-        machine::encode(self)
+        match machine::decode(data)? {
+            Query::All => machine::encode(self),
+            Query::Revision => machine::encode(&self.revision),
+        }
     }
 
     fn reset(&mut self) -> Result<(), Storage> {
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -1,9 +1,11 @@
 //! The clock of the process.
 //!
 //! Timers use monotonic time since the start of the process; times that are stored or sent to
-//! other instances use milliseconds since the Unix epoch.
+//! other instances use milliseconds since the Unix epoch. Monotonic time stands still while the machine
+//! is suspended; a lease that others count on needs [`boot_ms`], which doesn't.
 
 use coordination::Millis;
+use rustix::time::{ClockId, clock_gettime};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Monotonic clock that also knows the wall-clock time at which it was created.
@@ -42,6 +44,13 @@
     millis(since_epoch)
 }
 
+/// Time since the machine was started, including the time for which it was suspended, in milliseconds.
+pub(crate) fn boot_ms() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    let (seconds, nanoseconds) = (u64::try_from(time.tv_sec), u64::try_from(time.tv_nsec));
+    seconds.unwrap_or(0) * 1_000 + nanoseconds.unwrap_or(0) / 1_000_000
+}
+
 /// Converts a duration to whole milliseconds.
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -175,6 +175,7 @@
             weak.upgrade().and_then(|entry| entry.usage()).unwrap_or_default()
         }));
         tokio::spawn(entry.clone().watch_servers());
+        tokio::spawn(entry.clone().watch_lease());
         tokio::spawn(entry.clone().poll_list());
         tokio::spawn(entry.clone().expire_connections());
         tokio::spawn(entry.clone().watch_reach());
@@ -223,7 +224,11 @@
     pub fn is_ready(&self) -> bool {
         let is_listed = self.fleet.lock().is_ok_and(|fleet| fleet.list_age(self.now()).is_some());
         let is_serving = *self.stop.borrow() == server::Phase::Serving;
-        is_listed && is_serving && self.table().is_some() && !self.member.is_leaving()
+        let is_configured = self.table().is_some_and(|table| {
+            // A lease that is lost later closes no public route.
+            table.organisations().is_empty() || self.member.has_held_lease()
+        });
+        is_listed && is_serving && is_configured && !self.member.is_leaving()
     }
 
     /// Whether this instance reaches neither the program journal nor any control instance.
@@ -407,7 +412,11 @@
             }
             let version = registry.version();
             if version > self.table().map_or(0, |table| table.version()) {
-                self.apply_configuration(registry).await;
+                self.apply_configuration(registry.clone()).await;
+            }
+            // A configuration that could not be applied leaves the lease on the earlier one.
+            if self.table().map_or(0, |table| table.version()) == version {
+                self.member.with_authority(|authority| authority.apply(registry.revision));
             }
             self.member.set_ready(self.is_ready());
             if view.changed().await.is_err() {
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -21,7 +21,7 @@
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use protocol::organisations::Organisation;
+use protocol::organisations::{KeyDigest, Organisation};
 use protocol::routes::{Route, Table};
 use rand::Rng;
 use state::error::Kind;
@@ -110,6 +110,7 @@
         source,
         organisation: None,
         checks_keys: false,
+        key: None,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle_until_stopped(&metadata, head, body).await,
@@ -121,6 +122,7 @@
             let id = Some(handler.progress.id.as_str()).filter(|id| !id.is_empty());
             let response = entry.adapter.refusal_response(id, &refusal);
             let kind = format!("{:?}", refusal.kind);
+            handler.count_refusal(&kind);
             tracing::info!(
                 request = handler.progress.id,
                 kind,
@@ -153,6 +155,8 @@
     pub(super) organisation: Option<Arc<Organisation>>,
     /// Whether keys are checked, on this route or others.
     pub(super) checks_keys: bool,
+    /// Digest of the key by which `organisation` was found.
+    pub(super) key: Option<KeyDigest>,
 }
 
 /// Who sent a request to this entry.
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -132,6 +132,8 @@
             if remaining < MIN_DISPATCH_TIME {
                 return Ok(Forwarded::Unreachable);
             }
+            self.check_key_again()?;
+            // The key is passed on: the other entry checks it by its own lease.
             let mut headers = headers::end_to_end(&head.headers);
             self.entry.adapter.set_timeout(&mut headers, remaining);
             let Some(request) = sending::outgoing(head, headers, body.clone()) else {
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -14,6 +14,14 @@
     outcome: String,
 }
 
+/// Labels of what is counted by organisation. Names come from the configuration and reasons are a fixed
+/// set, so the number of time series is bounded.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OrganisationLabel {
+    organisation: String,
+    outcome: String,
+}
+
 /// All metrics of an entry.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -22,6 +30,9 @@
     resumptions: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
     losses: Family<Label, Counter>,
+    organisations: Family<OrganisationLabel, Counter>,
+    lease_age: Gauge,
+    lease_held: Gauge,
     pub(crate) partitioned: Gauge,
     pub(crate) first_byte: Histogram,
     pub(crate) duration: Histogram,
@@ -58,6 +69,16 @@
         let losses = Family::<Label, Counter>::default();
         let help = "Responses that were lost, by what became of the server";
         registry.register("lost_responses", help, losses.clone());
+        let organisations = Family::<OrganisationLabel, Counter>::default();
+        let help = "Requests with the key of an organisation, and refusals by reason";
+        registry.register("organisation_requests", help, organisations.clone());
+        let lease_age = Gauge::default();
+        let help =
+            "Time since the configuration was last confirmed as the newest, -1 before, in ms";
+        registry.register("lease_age_milliseconds", help, lease_age.clone());
+        let lease_held = Gauge::default();
+        let help = "1 while keys are accepted, otherwise 0; 0 if that needs no lease";
+        registry.register("lease_held", help, lease_held.clone());
         let partitioned = Gauge::default();
         let help = "1 while no backend server is reached, otherwise 0";
         registry.register("partitioned", help, partitioned.clone());
@@ -92,6 +113,9 @@
             resumptions,
             forwarded,
             losses,
+            organisations,
+            lease_age,
+            lease_held,
             partitioned,
             first_byte,
             duration,
@@ -125,6 +149,28 @@
         self.losses.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    /// Counts a request that carries the key of an organisation.
+    pub(crate) fn organisation_request(&self, organisation: &str) {
+        self.count_for_organisation(organisation, "accepted");
+    }
+
+    /// Counts a refusal; the name is empty if the key belongs to no organisation.
+    pub(crate) fn organisation_refusal(&self, organisation: &str, reason: &str) {
+        self.count_for_organisation(organisation, reason);
+    }
+
+    fn count_for_organisation(&self, organisation: &str, outcome: &str) {
+        let (organisation, outcome) = (organisation.to_owned(), outcome.to_owned());
+        self.organisations.get_or_create(&OrganisationLabel { organisation, outcome }).inc();
+    }
+
+    /// Sets the age of the lease on the configuration.
+    pub(crate) fn lease(&self, age_ms: Option<u64>, is_held: bool) {
+        let age_ms = age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+        self.lease_age.set(age_ms);
+        self.lease_held.set(i64::from(is_held));
+    }
+
     pub(crate) fn leaving(&self, source: &str, count: usize) {
         let label = Label { outcome: source.to_owned() };
         self.leaving_servers.get_or_create(&label).set(count as i64);
--- a/crates/transport/src/gateway/organisations.rs
+++ b/crates/transport/src/gateway/organisations.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::dialect::{Identity, Refusal};
 use crate::gateway::dialect::{Metadata, Resumption};
+use crate::gateway::entry::Entry;
 use crate::gateway::flow::{Error, Handler};
 use coordination::routing;
 use http::HeaderMap;
@@ -18,11 +19,60 @@
 use protocol::routes::{Route, Table};
 use state::error::Kind;
 use std::borrow::Cow;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Separates the name of an organisation from an id. Neither contains it: ids come from headers, and
 /// names are validated.
 const SEPARATOR: char = '\u{1f}';
 
+/// Interval between two checks of the lease, for the log and the metrics; requests check it themselves.
+const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Retry time in refusals without a lease. It is that of an election of the control journal; callers
+/// with several addresses come to another entry.
+const LEASE_RETRY_AFTER: Duration = Duration::from_millis(600);
+
+/// Refusal of a key that may have been taken away, or may be new.
+fn not_current() -> Refusal {
+    let detail = "this entry doesn't know whether its configuration is the newest";
+    Refusal::retryable(Kind::Unavailable, LEASE_RETRY_AFTER, detail)
+}
+
+/// Refusal of a key that is certainly unknown.
+fn unknown_key() -> Refusal {
+    Refusal::new(Kind::Unauthorized, "the key of the request belongs to no organisation")
+}
+
+impl Entry {
+    /// Logs when the lease on the configuration is lost or held again.
+    pub(super) async fn watch_lease(self: Arc<Self>) {
+        let Some(length) = self.member.lease_length() else {
+            return;
+        };
+        let mut was_held = false;
+        loop {
+            let age_ms = self.member.lease_age();
+            let is_held = age_ms.is_some_and(|age| age < length);
+            if is_held != was_held {
+                was_held = is_held;
+                self.member.set_ready(self.is_ready());
+                if is_held {
+                    tracing::info!(age_ms, length, "keys accepted: the configuration is confirmed");
+                } else {
+                    tracing::warn!(
+                        age_ms,
+                        length,
+                        "keys refused: the configuration is not confirmed"
+                    );
+                }
+            }
+            self.metrics.lease(age_ms, is_held);
+            tokio::time::sleep(LEASE_POLL_INTERVAL).await;
+        }
+    }
+}
+
 impl Handler {
     /// Finds the organisation whose key the caller presents.
     ///
@@ -44,14 +94,55 @@
             let detail = "the request carries no key; exactly one is accepted on this route";
             return Err(Refusal::new(Kind::Unauthorized, detail).into());
         };
-        let Some(organisation) = organisations.find(&KeyDigest::new(key)) else {
-            let detail = "the key of the request belongs to no organisation";
-            return Err(Refusal::new(Kind::Unauthorized, detail).into());
+        let key = KeyDigest::new(key);
+        if !self.entry.member.may_accept_keys() {
+            return Err(not_current().into());
+        }
+        let Some(organisation) = organisations.find(&key) else {
+            let is_behind = self.entry.member.with_authority(|authority| authority.is_behind());
+            return Err(if is_behind { not_current() } else { unknown_key() }.into());
         };
         self.organisation = Some(organisation.clone());
+        self.key = Some(key);
+        self.entry.metrics.organisation_request(&organisation.name);
         Ok(())
     }
 
+    /// Checks again whether the key may be accepted, right before the request is sent on: it may have
+    /// been held, or have had other attempts, or this process may have been frozen.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if its key was taken away, or that would not be known here.
+    pub(super) fn check_key_again(&self) -> Result<(), Refusal> {
+        let (Some(organisation), Some(key)) = (&self.organisation, &self.key) else {
+            return Ok(());
+        };
+        let table = self.entry.table();
+        let is_known = table.is_none_or(|table| {
+            let organisations = table.organisations();
+            let holder = organisations.find(key);
+            organisations.is_empty() || holder.is_some_and(|o| o.name == organisation.name)
+        });
+        let refusal = match (self.entry.member.may_accept_keys(), is_known) {
+            (true, true) => return Ok(()),
+            (false, _) => not_current(),
+            (true, false) => unknown_key(),
+        };
+        if self.may_have_executed {
+            return Err(Refusal::new(Kind::Failed, refusal.detail));
+        }
+        Err(refusal)
+    }
+
+    /// Counts a refusal for its organisation, or for none.
+    pub(super) fn count_refusal(&self, reason: &str) {
+        if self.checks_keys {
+            let organisation = self.organisation.as_ref().map_or("", |o| o.name.as_str());
+            self.entry.metrics.organisation_refusal(organisation, reason);
+        }
+    }
+
     /// Whose request it is, for the backend server.
     pub(super) fn identity(&self) -> Identity<'_> {
         match &self.organisation {
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -111,6 +111,8 @@
     Unavailable,
     /// The server has no free slot; the request was not executed.
     Full,
+    /// The request must not be sent any more; this attempt was not.
+    Refused(Refusal),
     /// No usable response arrived; the request may have been executed. Carries the cause.
     NoResponse(String),
     /// The deadline of the request has passed; the request may have been executed.
@@ -167,6 +169,7 @@
                         return Err(Refusal::new(Kind::Failed, detail).into());
                     }
                 }
+                AttemptResult::Refused(refusal) => return Err(refusal.into()),
                 AttemptResult::DeadlineExceeded => {
                     let detail = "the backend server did not respond before the deadline";
                     return Err(Refusal::new(Kind::Unknown, detail).into());
@@ -358,6 +361,9 @@
             if remaining < MIN_DISPATCH_TIME {
                 return AttemptResult::Unavailable;
             }
+            if let Err(refusal) = self.check_key_again() {
+                return AttemptResult::Refused(refusal);
+            }
             let identity = self.identity();
             let dispatch = Dispatch { id: &outbound.metadata.id, server: &id, remaining, identity };
             let Some(request) = self.build_request(outbound, &dispatch) else {
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -4,7 +4,7 @@
 //! their replies. One control instance at a time also relays the backend server list and the
 //! entries' loads.
 
-use crate::clock::millis;
+use crate::clock::{self, millis};
 use crate::member::node::Member;
 use crate::member::replica::{CONTROL, PROGRAMS};
 use crate::storage::BUILD;
@@ -47,11 +47,14 @@
                 heartbeat.revision = presence::NOT_WANTED;
             }
             tokio::spawn(async move {
-                let sent_at = Instant::now();
+                let (sent_at, sent_at_boot_ms) = (Instant::now(), clock::boot_ms());
                 let request = Request::Heartbeat(Box::new(heartbeat));
                 let response = member.transport.call(&address, &request, HEARTBEAT_TIMEOUT).await;
                 match response {
                     Ok(Response::HeartbeatReply(reply)) => {
+                        if let Some(confirmation) = reply.confirmation {
+                            member.with_authority(|a| a.receive(sent_at_boot_ms, confirmation));
+                        }
                         apply_reply(&member, &address, *reply, sent_at);
                     }
                     _ => drop(member.metrics.heartbeats_unanswered.inc()),
--- a/crates/transport/src/member/mod.rs
+++ b/crates/transport/src/member/mod.rs
@@ -5,6 +5,7 @@
 //! replicas of the journals are chosen among the present instances
 //! (`coordination::membership`).
 
+mod authority;
 mod beats;
 mod fetch;
 mod metrics;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -9,11 +9,12 @@
 use crate::member::fetch::{self, Packages};
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
-use crate::member::{Metrics, Settings, beats, servers};
+use crate::member::{Metrics, Settings, authority, beats, servers};
 use crate::node::Error;
 use crate::replica::{Handle, Job};
 use crate::rpc::{self, Handler};
 use crate::tcp::Transport;
+use coordination::authority::Authority;
 use coordination::membership::{self, Candidate};
 use coordination::offers::Offers;
 use coordination::placement::Listing;
@@ -100,6 +101,8 @@
     pub(crate) offers: Mutex<Offers>,
     /// Notified when a control instance has a newer registry.
     pub(crate) newer_offered: Notify,
+    /// What this instance knows of the newest revision of the registry.
+    pub(crate) authority: Mutex<Authority>,
     pub(crate) metrics: Metrics,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
@@ -138,6 +141,7 @@
             packages: Mutex::default(),
             offers: Mutex::default(),
             newer_offered: Notify::new(),
+            authority: Mutex::default(),
             metrics: Metrics::default(),
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
@@ -204,6 +208,9 @@
         if group == CONTROL {
             tokio::spawn(self.clone().watch_registry(handle.clone()));
             tokio::spawn(self.clone().run_control_leader(handle.clone()));
+            if self.settings.revocation.is_some() {
+                tokio::spawn(authority::run(self.clone(), handle.clone()));
+            }
         }
         let mut groups = Map::default();
         groups.insert(group, handle);
@@ -465,6 +472,7 @@
             quarantine,
             serves_parts: true,
             compares_roster,
+            confirmation: self.confirmation(),
         };
         Response::HeartbeatReply(Box::new(reply))
     }
@@ -543,6 +551,7 @@
             "control": view.control,
             "programs": view.programs,
             "entries": view.roster.entries.len(),
+            "lease_age_ms": self.lease_age(),
             "heard_ms": view.last_contact.map(|at| at.elapsed().as_millis()),
             "replica": replica,
             "instances": instances,
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -45,6 +45,9 @@
     /// Time since the last heartbeat after which an instance counts as absent: several lost
     /// heartbeats.
     pub absence_timeout: Duration,
+    /// Time after the acknowledgement of a configuration in which each entry, reached by it or not,
+    /// stops accepting the keys that it takes away; `None` if entries without contact may go on.
+    pub revocation: Option<Duration>,
 }
 
 impl Default for Settings {
@@ -66,6 +69,7 @@
             compact_bytes: 8 * 1024 * 1024,
             heartbeat_interval: Duration::from_millis(200),
             absence_timeout: Duration::from_millis(600),
+            revocation: None,
         }
     }
 }
