fix(transport): one budget of memory for what others send

Cause: each body, frame and head was bounded, their sum was not: 2,500 connections of callers could hold 10 GB. Bodies were held twice while they were put together, endpoints had neither a limit on connections nor one on heads but hyper's 400 kB, and a message between instances was held from its first byte on. Change: `coordination::memory` (what is given out, which upload gives way), `transport::memory` (budget from MemoryMb and RssAnon at the start), `transport::body` (one buffer, taken from the budget before it is read into; 413 for an announced excess before a byte is read), `transport::connections` (limits from MaxFds; a silent or idle connection makes room). Refusals are 503 with Retry-After before anything is sent on, and their connection lingers for a second so that they arrive. An entry reads MaxHeaderBytes when a connection has sent something and waits for the first configuration. Metrics `held_bytes` and `given_up`.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lease;
 pub mod limit;
 pub mod membership;
+pub mod memory;
 pub mod offers;
 pub mod placement;
 pub mod quarantine;
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod limit;
 mod membership;
+mod memory;
 mod offers;
 mod placement;
 mod policy;
--- /dev/null
+++ b/crates/transport/src/body.rs
@@ -0,0 +1,157 @@
+//! Bodies of requests, read within the memory of the process.
+//!
+//! A body is held once, in one buffer that is taken from the budget before it grows; the bytes stay
+//! granted for as long as anything refers to them. A body of a known length takes all of it before
+//! the first byte is read, so that one which has begun can be completed.
+
+use crate::memory::{Budget, Full, Grant, Kind, Upload};
+use bytes::Bytes;
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Size by which the buffer of a body of unknown length grows at least, in bytes.
+const MIN_GROWTH: usize = 16 * 1024;
+
+/// The buffer of a body of unknown length grows by its own size divided by this, so that few of
+/// the bytes that it takes are unused.
+const GROWTH_DIVISOR: usize = 4;
+
+/// Reason why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The body is longer than allowed.
+    #[error("the request body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// The memory for bodies is used up.
+    #[error("the memory for request bodies is used up")]
+    Full,
+    /// The body has fallen behind, and gives way to others.
+    #[error("the request body arrives too slowly and gives way to others")]
+    Behind,
+    /// The body is not complete at the deadline.
+    #[error("the request body did not arrive before the deadline")]
+    Late,
+    /// The sender broke off.
+    #[error("the request body was broken off")]
+    Lost,
+}
+
+impl Error {
+    /// Name of the reason in metrics.
+    pub(crate) fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge(_) => "body too large",
+            Self::Full => "body without memory",
+            Self::Behind => "body behind",
+            Self::Late => "body late",
+            Self::Lost => "body broken off",
+        }
+    }
+}
+
+/// A complete body with the memory that it takes.
+struct Held {
+    content: Vec<u8>,
+    _grant: Grant,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns the reason why it was not read.
+pub async fn read(
+    budget: &Arc<Budget>,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Error> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let announced = body.size_hint().exact();
+    let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    let result = match announced {
+        Some(length) if length > limit => Err(Error::TooLarge(limit)),
+        _ => {
+            let leave = Arc::new(Notify::new());
+            let upload = budget.upload(Kind::Body, leave.clone());
+            let reading = Reading { upload, leave, content: Vec::new(), limit };
+            tokio::time::timeout_at(deadline, reading.run(body, announced))
+                .await
+                .unwrap_or(Err(Error::Late))
+        }
+    };
+    if let Err(error) = result {
+        budget.metrics.give_up(error.reason());
+    }
+    result
+}
+
+/// A body that is being read.
+struct Reading {
+    upload: Upload,
+    /// Notified when the body has to give way to others.
+    leave: Arc<Notify>,
+    content: Vec<u8>,
+    limit: usize,
+}
+
+impl Reading {
+    async fn run(mut self, mut body: Incoming, announced: Option<usize>) -> Result<Bytes, Error> {
+        if let Some(length) = announced {
+            self.upload.grant.resize(length).await.map_err(|Full| Error::Full)?;
+            self.content.reserve_exact(length);
+        }
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.leave.notified() => return Err(Error::Behind),
+            };
+            let Some(frame) = frame else {
+                break;
+            };
+            let frame = frame.map_err(|_| Error::Lost)?;
+            if let Some(data) = frame.data_ref() {
+                self.push(data).await?;
+            }
+        }
+        let Self { upload, content, .. } = self;
+        let mut grant = upload.complete();
+        // A buffer never shrinks here, so that this returns what was taken for its growth only.
+        if grant.try_resize(content.capacity()).is_err() {
+            return Err(Error::Full);
+        }
+        Ok(Bytes::from_owner(Held { content, _grant: grant }))
+    }
+
+    async fn push(&mut self, data: &[u8]) -> Result<(), Error> {
+        let length = self.content.len().saturating_add(data.len());
+        if length > self.limit {
+            return Err(Error::TooLarge(self.limit));
+        }
+        let capacity = self.content.capacity();
+        if length > capacity {
+            let growth = (capacity / GROWTH_DIVISOR).max(MIN_GROWTH);
+            let wanted = capacity.saturating_add(growth).min(self.limit).max(length);
+            // The old and the new buffer exist side by side while the content is copied.
+            let grant = &mut self.upload.grant;
+            grant.resize(capacity.saturating_add(wanted)).await.map_err(|Full| Error::Full)?;
+            self.content.reserve_exact(wanted - self.content.len());
+            grant.resize(wanted).await.map_err(|Full| Error::Full)?;
+        }
+        self.content.extend_from_slice(data);
+        self.upload.advance(data.len());
+        Ok(())
+    }
+}
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -2,6 +2,7 @@
 //!
 //! Each endpoint has its own address and a [`Handler`] that returns complete responses.
 
+use crate::connections::{Connection, Connections};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -14,12 +15,15 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Timeout for receiving the head of a request, which also limits how long a connection may be
 /// idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Size of the buffers of a connection, in bytes; also that of the largest head of a request.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// Pause after an error in accepting a connection, so that the error does not recur in a tight
 /// loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -33,38 +37,33 @@
     fn handle(&self, request: Request<Incoming>) -> ResponseFuture<'_>;
 }
 
-/// Serves an address for as long as the process runs.
+/// Serves an address with at most `limit` connections for as long as the process runs.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub async fn serve(address: &str, handler: Arc<dyn Handler>) -> Result<(), crate::Error> {
+pub async fn serve(
+    address: &str,
+    handler: Arc<dyn Handler>,
+    limit: usize,
+) -> Result<(), crate::Error> {
     let listener = TcpListener::bind(address)
         .await
         .map_err(|error| crate::Error::new(format!("{address}: {error}")))?;
-    tokio::spawn(accept(listener, handler));
+    tokio::spawn(accept(listener, handler, Connections::new("endpoint", limit)));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, handler: Arc<dyn Handler>) {
+async fn accept(listener: TcpListener, handler: Arc<dyn Handler>, connections: Arc<Connections>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let handler = handler.clone();
-                let service = service_fn(move |request| {
-                    let handler = handler.clone();
-                    async move { Ok::<_, Infallible>(handler.handle(request).await) }
-                });
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(HEAD_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), service);
-                tokio::spawn(async move {
-                    if let Err(error) = connection.await {
-                        tracing::debug!(%error, "connection to an endpoint ended with an error");
-                    }
-                });
-            }
+            Ok((stream, from)) => match connections.add() {
+                Some(connection) => drop(tokio::spawn(answer(stream, handler.clone(), connection))),
+                None => {
+                    let limit = connections.limit();
+                    tracing::warn!(%from, limit, "connection to an endpoint refused");
+                }
+            },
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a connection to an endpoint");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -72,3 +71,24 @@
         }
     }
 }
+
+/// Answers the requests on one connection.
+async fn answer(stream: TcpStream, handler: Arc<dyn Handler>, connection: Connection) {
+    let service = service_fn(|request| async {
+        connection.touch();
+        Ok::<_, Infallible>(handler.handle(request).await)
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        served = served => {
+            if let Err(error) = served {
+                tracing::debug!(%error, "connection to an endpoint ended with an error");
+            }
+        }
+        () = connection.closed() => {}
+    }
+}
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -24,7 +24,7 @@
 use coordination::waiting::{self, Queue};
 use http::response;
 use protocol::presence::{RateLimit, Roster};
-use protocol::routes::Table;
+use protocol::routes::{Limits, Table};
 use rand::RngExt;
 use state::collections::Map;
 use state::registry::Registry;
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Limits on the requests of callers; defaults until there is a configuration.
+    pub(crate) fn limits(&self) -> Limits {
+        self.table().map(|table| *table.limits()).unwrap_or_default()
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.member.clock.now()
     }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -4,7 +4,9 @@
 //! server and hands the response to a [`Relay`]. A request that cannot be forwarded is answered
 //! with a [`Refusal`].
 
+use crate::body;
 use crate::clock::millis;
+use crate::connections::{Busy, Connection};
 use crate::gateway::attempt::Attempt;
 use crate::gateway::dialect::{Metadata, Refusal};
 use crate::gateway::entry::Entry;
@@ -18,8 +20,7 @@
 use crate::gateway::server::{Phase, wait_for_phase};
 use crate::gateway::turns::{Admission, Turn};
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
 use protocol::organisations::Organisation;
 use protocol::routes::{Route, Table};
@@ -87,6 +88,7 @@
     entry: Arc<Entry>,
     request: Request<Incoming>,
     source: Source,
+    connection: Arc<Connection>,
 ) -> Result<Response<Body>, Abort> {
     let in_flight = InFlight::new(&entry);
     let started = Instant::now();
@@ -109,6 +111,8 @@
         versions: Versions::Any,
         source,
         organisation: None,
+        connection,
+        busy: None,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle_until_stopped(&metadata, head, body).await,
@@ -118,7 +122,11 @@
         Ok(answered) => Ok(handler.relay(answered, in_flight)),
         Err(Error::Refused(refusal)) => {
             let id = Some(handler.progress.id.as_str()).filter(|id| !id.is_empty());
-            let response = entry.adapter.refusal_response(id, &refusal);
+            let mut response = entry.adapter.refusal_response(id, &refusal);
+            if handler.connection.has_unread_body() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             let kind = format!("{:?}", refusal.kind);
             tracing::info!(
                 request = handler.progress.id,
@@ -151,6 +159,10 @@
     /// Organisation whose key the caller presented; `None` if no keys are checked.
     #[expect(dead_code, reason = "read by the key check and the usage caps, which follow")]
     pub(super) organisation: Option<Arc<Organisation>>,
+    /// Connection of the caller.
+    connection: Arc<Connection>,
+    /// Marks the connection as one that is needed, from the end of the request body on.
+    busy: Option<Busy>,
 }
 
 /// Who sent a request to this entry.
@@ -255,7 +267,7 @@
         self.progress.route.clone_from(&route.name);
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = self.progress.started + timeout;
-        let body = read_body(body, table.limits().body_bytes, deadline).await?;
+        let body = self.read_body(body, table.limits().body_bytes, deadline).await?;
         if self.should_forward()
             && let Some(answered) = self.forward(metadata, &route, &head, &body, deadline).await?
         {
@@ -311,6 +323,32 @@
         })
     }
 
+    /// Reads the body. The connection does not make room for others from then on.
+    async fn read_body(
+        &mut self,
+        body: Incoming,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, Error> {
+        let budget = &self.entry.member.budget;
+        let error = match body::read(budget, body, limit, deadline).await {
+            Ok(body) => {
+                self.busy = Some(self.connection.busy());
+                return Ok(body);
+            }
+            Err(body::Error::Lost) => return Err(Error::Aborted(Abort::Caller)),
+            Err(error) => error,
+        };
+        self.connection.leave_body();
+        let detail = error.to_string();
+        Err(match error {
+            body::Error::TooLarge(_) => Refusal::new(Kind::TooLarge, detail),
+            body::Error::Late => Refusal::new(Kind::SlowSender, detail),
+            _ => Refusal::retryable(Kind::Overloaded, RETRY_AFTER, detail),
+        }
+        .into())
+    }
+
     /// Forwards a request whose turn has begun. The other entry finds that and ends the turn.
     async fn forward_begun(
         &mut self,
@@ -420,7 +458,7 @@
             turn,
             draft,
             deadline: answered.deadline,
-            in_flight: Box::new(in_flight),
+            in_flight: Box::new((in_flight, self.busy)),
         });
         Response::from_parts(head, Body::Relay(Box::new(relay)))
     }
@@ -447,20 +485,3 @@
     content.extend_from_slice(body);
     content.freeze()
 }
-
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Error> {
-    let collected = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("the request body is larger than {limit} bytes");
-            Err(Refusal::new(Kind::TooLarge, detail).into())
-        }
-        Ok(Err(_)) => Err(Error::Aborted(Abort::Caller)),
-        Err(_) => Err(Refusal::new(
-            Kind::SlowSender,
-            "the request body did not arrive before the deadline",
-        )
-        .into()),
-    }
-}
--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -3,28 +3,48 @@
 //! Accepts connections up to a limit, serves their requests, and closes them gracefully when
 //! the gateway stops.
 
+use crate::connections::{Connection, Connections};
 use crate::gateway::entry::Entry;
 use crate::gateway::flow::{self, Source};
+use crate::memory::Kind;
 use http::{Request, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Maximum number of concurrent connections of callers. The smallest machines allow 4,100 file
-/// descriptors, and connections to backend servers and other instances need some of them.
+/// Maximum number of concurrent connections of callers, however many descriptors the machine has.
+/// Connections to backend servers and other instances need some of them.
 const MAX_CONNECTIONS: usize = 2_500;
 
 /// Pause after an error in accepting a connection, so that the error does not recur in a tight
 /// loop.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Memory of a connection that has sent something, in bytes: its buffers with a head of ordinary
+/// size, and its task.
+const CONNECTION_BYTES: usize = 10 * 1024;
+
+/// Assumed time that a caller waits for the configuration, before its request is known.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time in which what a caller sends after a refusal is dropped: some round trips.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Number of bytes that are dropped after a refusal. A caller that goes on for longer sends at the
+/// limit of bodies or beyond it.
+const LINGER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Size of the buffer into which bytes are dropped.
+const LINGER_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Size of the read buffer beyond the largest request head, in bytes.
 const BUFFER_MARGIN: usize = 4 * 1024;
 
@@ -48,24 +68,28 @@
     mut phase: watch::Receiver<Phase>,
     source: Source,
 ) {
-    let count = Arc::new(AtomicUsize::new(0));
+    let limits = entry.member.settings.connections;
+    let connections = match source {
+        Source::Callers => Connections::new("callers", limits.callers.min(MAX_CONNECTIONS)),
+        Source::Entries => Connections::new("forwarded requests", limits.relays),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = wait_for_phase(&mut phase, Phase::Closed) => return,
         };
         match accepted {
-            Ok((stream, _)) if count.load(Ordering::Relaxed) < MAX_CONNECTIONS => {
-                count.fetch_add(1, Ordering::Relaxed);
-                let (entry, phase, count) = (entry.clone(), phase.clone(), count.clone());
-                tokio::spawn(async move {
-                    serve_caller(entry, stream, phase, source).await;
-                    count.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
-            Ok((_, from)) => {
-                tracing::warn!(%from, limit = MAX_CONNECTIONS, "caller refused: limit reached");
-            }
+            Ok((stream, from)) => match connections.add() {
+                Some(connection) => {
+                    let (entry, phase) = (entry.clone(), phase.clone());
+                    tokio::spawn(serve_caller(entry, stream, phase, source, connection));
+                }
+                None => {
+                    entry.member.budget.metrics.give_up("connection over the limit");
+                    let limit = connections.limit();
+                    tracing::warn!(%from, limit, "caller refused: limit reached");
+                }
+            },
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a connection of a caller");
                 tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
@@ -74,27 +98,66 @@
     }
 }
 
+/// Serves a connection once its first bytes have arrived. Before that, it holds nothing but a socket.
 async fn serve_caller(
     entry: Arc<Entry>,
     stream: TcpStream,
-    mut phase: watch::Receiver<Phase>,
+    phase: watch::Receiver<Phase>,
     source: Source,
+    connection: Connection,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "cannot set socket options of a connection of a caller");
     }
-    let limits = entry.table().map(|table| *table.limits()).unwrap_or_default();
+    let connection = Arc::new(connection);
+    let idle_timeout = entry.limits().idle_timeout;
+    let mut stopping = phase.clone();
+    let has_bytes = tokio::select! {
+        readable = tokio::time::timeout(idle_timeout, stream.readable()) => {
+            matches!(readable, Ok(Ok(())))
+        }
+        () = connection.closed() => false,
+        // A connection that was opened during the stop is served in any case.
+        () = wait_for_change(&mut stopping) => true,
+    };
+    let mut grant = entry.member.budget.grant(Kind::Connection);
+    if !has_bytes {
+        entry.member.budget.metrics.give_up("silent connection");
+        return;
+    }
+    if grant.resize(CONNECTION_BYTES).await.is_err() {
+        entry.member.budget.metrics.give_up("connection without memory");
+        tracing::info!(limit = entry.member.budget.limit(), "caller refused: no memory is left");
+        return;
+    }
+    // The limits on heads are part of the configuration.
+    let is_configured = entry.await_start("", DEFAULT_TIMEOUT).await.is_some();
+    Box::pin(serve_requests(entry, stream, phase, source, connection, is_configured)).await;
+    drop(grant);
+}
+
+async fn serve_requests(
+    entry: Arc<Entry>,
+    stream: TcpStream,
+    mut phase: watch::Receiver<Phase>,
+    source: Source,
+    connection: Arc<Connection>,
+    is_configured: bool,
+) {
+    let limits = entry.limits();
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
-        flow::respond(entry.clone(), request, source)
+        connection.touch();
+        flow::respond(entry.clone(), request, source, connection.clone())
     });
     // A connection that is opened during a stop serves one request. A graceful shutdown before that
     // would close it unread.
     let is_stopping = *phase.borrow() >= Phase::Closing;
     let last_phase = if is_stopping { Phase::Closed } else { Phase::Closing };
-    let mut connection = http1::Builder::new()
-        .keep_alive(!is_stopping)
+    let mut served = http1::Builder::new()
+        // With the limits that apply without a configuration, one request is served at most.
+        .keep_alive(!is_stopping && is_configured)
         .timer(TokioTimer::new())
         // hyper counts this timeout from the end of the last response, so it also limits how
         // long a connection may be idle.
@@ -103,21 +166,51 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
-        ended = &mut connection => ended,
+        ended = &mut served => ended,
+        () = connection.closed() => {
+            entry.member.budget.metrics.give_up("idle connection");
+            return;
+        }
         () = wait_for_phase(&mut phase, last_phase) => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+            Pin::new(&mut served).graceful_shutdown();
+            (&mut served).await
         }
     };
-    if let Err(error) = ended {
-        tracing::debug!(%error, "connection of a caller ended");
-        if !knows_chunks.load(Ordering::Relaxed) {
-            // The end of the connection would complete the body.
-            reset(connection.into_parts().io.inner());
+    match ended {
+        Ok(()) if connection.has_unread_body() => linger(served.into_parts().io.inner()).await,
+        Ok(()) => {}
+        Err(error) => {
+            tracing::debug!(%error, "connection of a caller ended");
+            if !knows_chunks.load(Ordering::Relaxed) {
+                // The end of the connection would complete the body.
+                reset(served.into_parts().io.inner());
+            }
         }
     }
 }
 
+/// Drops what a caller goes on sending after its request was refused. A connection that is closed
+/// with unread bytes is reset, and the caller may lose the refusal.
+async fn linger(stream: &TcpStream) {
+    let drain = async {
+        let mut buffer = [0; LINGER_BUFFER_BYTES];
+        let mut dropped = 0;
+        while dropped < LINGER_BYTES {
+            if stream.readable().await.is_err() {
+                return;
+            }
+            match stream.try_read(&mut buffer) {
+                Ok(0) => return,
+                Ok(count) => dropped += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    // A caller that is not done by then loses the refusal.
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
+}
+
 /// Makes the connection end with a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
@@ -125,6 +218,14 @@
     }
 }
 
+/// Waits until the stop has begun, if it has not begun yet.
+async fn wait_for_change(phase: &mut watch::Receiver<Phase>) {
+    if *phase.borrow() >= Phase::Closing {
+        return std::future::pending().await;
+    }
+    wait_for_phase(phase, Phase::Closing).await;
+}
+
 /// Waits until the stop has reached the phase `wanted` or the gateway has been dropped.
 pub(crate) async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     drop(phase.wait_for(|phase| *phase >= wanted).await);
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -10,6 +10,7 @@
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
 use crate::member::{Metrics, Settings, beats, servers};
+use crate::memory::Budget;
 use crate::node::Error;
 use crate::replica::{Handle, Job};
 use crate::rpc::{self, Handler};
@@ -101,6 +102,8 @@
     /// Notified when a control instance has a newer registry.
     pub(crate) newer_offered: Notify,
     pub(crate) metrics: Metrics,
+    /// Memory for what others send.
+    pub(crate) budget: Arc<Budget>,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
 }
@@ -117,7 +120,10 @@
         let listener = TcpListener::bind(listen)
             .await
             .map_err(|error| Error::new(format!("{listen}: {error}")))?;
-        let transport = Transport::new(&settings.address);
+        let metrics = Metrics::default();
+        let budget = settings.budget(&metrics);
+        let limit = settings.connections.peers;
+        let transport = Transport::new(&settings.address, budget.clone(), limit);
         let times = leaders::Settings { call_timeout: CALL_TIMEOUT, retry_pause: RETRY_PAUSE };
         let member = Arc::new(Self {
             clock: Clock::new(),
@@ -138,7 +144,8 @@
             packages: Mutex::default(),
             offers: Mutex::default(),
             newer_offered: Notify::new(),
-            metrics: Metrics::default(),
+            metrics,
+            budget,
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
             settings,
@@ -503,6 +510,11 @@
         }
     }
 
+    /// Returns the memory of this process for what others send.
+    pub fn budget(&self) -> &Arc<Budget> {
+        &self.budget
+    }
+
     /// Returns the counters of the local replica in the OpenMetrics format.
     pub fn metrics(&self) -> String {
         let mut metrics = crate::metrics::Metrics::new();
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -1,11 +1,18 @@
 //! Settings of an instance that discovers the others from a few seed addresses.
 
+use crate::connections;
+use crate::member::Metrics;
+use crate::memory::{self, Budget};
 use protocol::presence::Role;
 use state::disk::{Disk, Local};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Smallest budget for what others send, in bytes: the largest message between instances, which is
+/// larger than any body, and room for some small ones.
+const MIN_BUDGET_BYTES: u64 = 20 * 1024 * 1024;
+
 /// Settings of one instance.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -34,6 +41,10 @@
     pub caller_address: Option<String>,
     /// Address for requests that other entries forward; only for entries.
     pub relay_address: Option<String>,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: u64,
+    /// Maximum numbers of connections.
+    pub connections: connections::Limits,
     /// Number of replicas of a journal that may be lost at the same time.
     pub tolerated_losses: usize,
     /// Minimum time without a leader before an election, in milliseconds.
@@ -61,6 +72,8 @@
             disk: Arc::new(Local),
             caller_address: None,
             relay_address: None,
+            memory_bytes: memory::DEFAULT_MACHINE_BYTES,
+            connections: connections::Limits::default(),
             tolerated_losses: 1,
             election_ms: 400,
             compact_bytes: 8 * 1024 * 1024,
@@ -76,4 +89,26 @@
     pub fn replicas(&self) -> usize {
         2 * self.tolerated_losses + 1
     }
+
+    /// Share of the free memory that is given out, in percent. Instances with a replica hold copies
+    /// of what they write, send and apply.
+    fn given_percent(&self) -> u64 {
+        match self.role {
+            Role::Entry => 75,
+            Role::Control | Role::Programs => 50,
+        }
+    }
+
+    /// Creates the budget for what others send, from the memory of the machine and what the process
+    /// holds at its start.
+    pub(crate) fn budget(&self, metrics: &Metrics) -> Arc<Budget> {
+        let (machine, at_rest) = (self.memory_bytes, memory::at_rest());
+        let bytes = coordination::memory::budget(machine, at_rest, self.given_percent());
+        tracing::info!(machine, at_rest, bytes, "memory for what others send");
+        if bytes < MIN_BUDGET_BYTES {
+            let min = MIN_BUDGET_BYTES;
+            tracing::error!(machine, at_rest, bytes, min, "too little memory; the minimum is used");
+        }
+        Budget::new(bytes.max(MIN_BUDGET_BYTES), metrics.memory.clone())
+    }
 }
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -5,7 +5,9 @@
 //! used most of their processor time (docs/CAPACITY.md). Pings detect a peer that does not
 //! respond; its connection is then closed and opened again.
 
+use crate::connections::{Connection, Connections};
 use crate::journal::Unreachable;
+use crate::memory::{self, Budget, Upload};
 use crate::replica::MessageSender;
 use crate::rpc::Handler;
 use bytes::{BufMut, Bytes, BytesMut};
@@ -15,6 +17,7 @@
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 use state::collections::Map;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -22,9 +25,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
-use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, FramedRead, LengthDelimitedCodec};
 
 /// First bytes of each connection; a connection that starts with other bytes is closed.
 const PREFACE: [u8; 8] = *b"BKSHELF1";
@@ -68,9 +71,9 @@
 /// frames are queued.
 const WRITE_BUFFER_BYTES: usize = 256 * 1024;
 
-/// Maximum number of concurrent connections from other instances: three for each of 340
-/// instances.
-const MAX_CONNECTIONS: usize = 1_024;
+/// Size up to which a message that has not arrived in full is not counted, in bytes; so that the
+/// messages of consensus do not depend on what others hold.
+const UNCOUNTED_BYTES: usize = 16 * 1024;
 
 /// Kind of a frame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -135,6 +138,63 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
+/// Reason why no further frame can be read.
+#[derive(Debug)]
+enum Broken {
+    /// There is no memory for the frame.
+    Full,
+    /// The connection failed, or the frame is too long.
+    Io(io::Error),
+}
+
+impl From<io::Error> for Broken {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// Splits received bytes into frames; what has arrived of a frame is taken from the budget.
+struct Metered {
+    codec: LengthDelimitedCodec,
+    budget: Arc<Budget>,
+    /// Notified when the frame has to give way to others.
+    leave: Arc<Notify>,
+    /// The frame that is arriving, if it is counted.
+    upload: Option<Upload>,
+}
+
+impl Metered {
+    fn new(budget: &Arc<Budget>, leave: &Arc<Notify>) -> Self {
+        let (budget, leave) = (budget.clone(), leave.clone());
+        Self { codec: codec(), budget, leave, upload: None }
+    }
+}
+
+impl Decoder for Metered {
+    type Item = BytesMut;
+    type Error = Broken;
+
+    fn decode(&mut self, received: &mut BytesMut) -> Result<Option<BytesMut>, Broken> {
+        let frame = self.codec.decode(received)?;
+        let held = received.len().saturating_sub(UNCOUNTED_BYTES);
+        if held == 0 {
+            self.upload = None;
+            return Ok(frame);
+        }
+        let (budget, leave) = (&self.budget, &self.leave);
+        let upload =
+            self.upload.get_or_insert_with(|| budget.upload(memory::Kind::Message, leave.clone()));
+        upload.advance(held.saturating_sub(upload.grant.bytes()));
+        if upload.grant.try_resize(held).is_err() {
+            // The peer opens a new connection. There is room for its message by then if another
+            // one gives way.
+            budget.make_room();
+            return Err(Broken::Full);
+        }
+        Ok(frame)
+    }
+}
+
 /// Frame to send to a peer.
 enum Outgoing {
     OneWay(Bytes),
@@ -156,17 +216,24 @@
     handler: OnceLock<Arc<dyn Handler>>,
     /// Number of the next call.
     next_call: AtomicU64,
+    /// Memory for messages that have not arrived in full.
+    budget: Arc<Budget>,
+    /// Connections from other instances.
+    connections: Arc<Connections>,
 }
 
 impl Transport {
-    /// Creates the transport of the instance that other instances reach at `address`.
-    pub(crate) fn new(address: &str) -> Arc<Self> {
+    /// Creates the transport of the instance that other instances reach at `address`, of which at
+    /// most `limit` connections are accepted.
+    pub(crate) fn new(address: &str, budget: Arc<Budget>, limit: usize) -> Arc<Self> {
         Arc::new(Self {
             address: address.to_owned(),
             runtime: tokio::runtime::Handle::current(),
             peers: Mutex::default(),
             handler: OnceLock::new(),
             next_call: AtomicU64::new(1),
+            budget,
+            connections: Connections::new("peers", limit),
         })
     }
 
@@ -225,25 +292,23 @@
 
     /// Accepts connections from other instances for as long as the process runs.
     pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener) {
-        let count = Arc::new(AtomicUsize::new(0));
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    if count.fetch_add(1, Ordering::Relaxed) >= MAX_CONNECTIONS {
-                        count.fetch_sub(1, Ordering::Relaxed);
-                        tracing::warn!(
-                            %from,
-                            limit = MAX_CONNECTIONS,
-                            "peer connection refused: connection limit reached"
-                        );
+                    let Some(connection) = self.connections.add() else {
+                        let limit = self.connections.limit();
+                        tracing::warn!(%from, limit, "peer connection refused: limit reached");
                         continue;
-                    }
-                    let (transport, count) = (self.clone(), count.clone());
+                    };
+                    let transport = self.clone();
                     tokio::spawn(async move {
-                        if let Err(reason) = transport.serve_peer(stream).await {
+                        let served = tokio::select! {
+                            served = transport.serve_peer(stream, &connection) => served,
+                            () = connection.closed() => Err("it makes room for another one"),
+                        };
+                        if let Err(reason) = served {
                             tracing::warn!(%from, reason, "closed the connection of a peer");
                         }
-                        count.fetch_sub(1, Ordering::Relaxed);
                     });
                 }
                 Err(error) => {
@@ -256,7 +321,11 @@
 
     /// Serves one connection until it ends. Returns the reason if the peer violated the protocol
     /// or this instance cannot serve it yet.
-    async fn serve_peer(self: Arc<Self>, stream: TcpStream) -> Result<(), &'static str> {
+    async fn serve_peer(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        connection: &Connection,
+    ) -> Result<(), &'static str> {
         set_socket_options(&stream);
         let (mut input, output) = stream.into_split();
         let mut preface = [0; PREFACE.len()];
@@ -266,12 +335,30 @@
         }
         let (replies, outbox) = mpsc::channel(MAX_QUEUED_FRAMES);
         tokio::spawn(write_frames(output, outbox));
-        let mut frames = FramedRead::new(input, codec());
+        let leave = Arc::new(Notify::new());
+        let mut frames = FramedRead::new(input, Metered::new(&self.budget, &leave));
         let mut from = String::new();
-        while let Some(frame) = frames.next().await {
-            let Ok(frame) = frame else {
-                return Ok(());
+        loop {
+            let frame = tokio::select! {
+                frame = frames.next() => frame,
+                () = leave.notified() => {
+                    self.budget.metrics.give_up("message behind");
+                    return Err("its message arrives too slowly and gives way to others");
+                }
+            };
+            let frame = match frame {
+                Some(Ok(frame)) => frame,
+                Some(Err(Broken::Full)) => {
+                    self.budget.metrics.give_up("message without memory");
+                    return Err("there is no memory for its message");
+                }
+                Some(Err(Broken::Io(error))) => {
+                    tracing::debug!(%error, "connection of a peer ended");
+                    return Ok(());
+                }
+                None => return Ok(()),
             };
+            connection.touch();
             let (kind, number, body) = parse(&frame).ok_or("frame of unknown kind")?;
             match kind {
                 Kind::Hello => from = decode(body).ok_or("hello cannot be decoded")?,
@@ -302,7 +389,6 @@
                 Kind::Reply | Kind::Pong => return Err("unexpected reply"),
             }
         }
-        Ok(())
     }
 }
 
