--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod limit;
 mod membership;
+mod memory;
 mod offers;
 mod pace;
 mod placement;
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -6,7 +6,7 @@
 //! given up before are remembered until then as [`Doubt`]s.
 
 use crate::clock::{Clock, millis};
-use crate::gateway::dialect::Dispatch;
+use crate::gateway::dialect::{Dispatch, Identity};
 use crate::gateway::entry::Entry;
 use crate::gateway::loss::Loss;
 use bytes::Bytes;
@@ -236,6 +236,7 @@
                 id: "",
                 server: NO_SERVER,
                 remaining: Duration::from_millis(PROBE_TIMEOUT_MS),
+                identity: Identity::Unchecked,
             },
         );
         let mut request = Request::new(Full::new(Bytes::new()));
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -10,6 +10,7 @@
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
 use crate::member::{Metrics, Settings, authority, beats, servers};
+use crate::memory::Budget;
 use crate::node::Error;
 use crate::replica::{Handle, Job};
 use crate::rpc::{self, Handler};
@@ -104,6 +105,8 @@
     /// What this instance knows of the newest revision of the registry.
     pub(crate) authority: Mutex<Authority>,
     pub(crate) metrics: Metrics,
+    /// Memory for what others send.
+    pub(crate) budget: Arc<Budget>,
     groups: OnceLock<Map<u32, Handle>>,
     seeds: Mutex<Vec<String>>,
 }
@@ -120,7 +123,10 @@
         let listener = TcpListener::bind(listen)
             .await
             .map_err(|error| Error::new(format!("{listen}: {error}")))?;
-        let transport = Transport::new(&settings.address);
+        let metrics = Metrics::default();
+        let budget = settings.budget(&metrics);
+        let limit = settings.connections.peers;
+        let transport = Transport::new(&settings.address, budget.clone(), limit);
         let times = leaders::Settings { call_timeout: CALL_TIMEOUT, retry_pause: RETRY_PAUSE };
         let member = Arc::new(Self {
             clock: Clock::new(),
@@ -142,7 +148,8 @@
             offers: Mutex::default(),
             newer_offered: Notify::new(),
             authority: Mutex::default(),
-            metrics: Metrics::default(),
+            metrics,
+            budget,
             groups: OnceLock::new(),
             seeds: Mutex::new(settings.seeds.clone()),
             settings,
@@ -514,6 +521,11 @@
         }
     }
 
+    /// Returns the memory of this process for what others send.
+    pub fn budget(&self) -> &Arc<Budget> {
+        &self.budget
+    }
+
     /// Returns the counters of the local replica in the OpenMetrics format.
     pub fn metrics(&self) -> String {
         let mut metrics = crate::metrics::Metrics::new();
