--- a/crates/protocol/tests/routes.rs
+++ b/crates/protocol/tests/routes.rs
@@ -1,6 +1,8 @@
 //! Tests of the validation and lookup of routes and services.
 
+use protocol::organisations::{KeyDigest, Organisation, Rate};
 use protocol::routes::{Config, Error, Route, Service, Table, Target};
+use std::sync::Arc;
 use std::time::Duration;
 
 fn route(name: &str, prefix: &str) -> Route {
@@ -68,3 +70,36 @@
     let count = (0..1_000).filter(|random| route.pick(*random) == "other").count();
     assert_eq!(count, 100);
 }
+
+#[test]
+fn organisation_is_found_by_each_of_its_keys_without_a_copy() {
+    let digest = |name: usize, key: usize| KeyDigest::new(format!("key-{name}-{key}").as_bytes());
+    let organisation = |name: usize| Organisation {
+        name: name.to_string(),
+        keys: (0..5).map(|key| digest(name, key)).collect(),
+        ..Organisation::default()
+    };
+    let organisations = (0..880).map(organisation).collect();
+    let table = Table::new(Config { organisations, ..Config::default() }).unwrap();
+    let index = table.organisations();
+    assert_eq!(index.iter().count(), 880);
+    for (name, organisation) in index.iter().enumerate() {
+        for key in 0..5 {
+            assert!(Arc::ptr_eq(index.find(&digest(name, key)).unwrap(), organisation));
+        }
+    }
+    assert!(index.find(&digest(880, 0)).is_none());
+}
+
+#[test]
+fn numbers_of_a_limit_must_be_finite_and_not_negative() {
+    for (setting, per_second, burst) in
+        [("rate", f64::NAN, 0.0), ("rate", f64::INFINITY, 0.0), ("burst", 1.0, f64::NEG_INFINITY)]
+    {
+        let rate = Some(Rate { per_second, burst });
+        let organisation = Organisation { name: "a".into(), rate, ..Organisation::default() };
+        let config = Config { organisations: vec![organisation], ..Config::default() };
+        let error = Table::new(config).unwrap_err().to_string();
+        assert!(error.contains(setting) && error.contains("accepted"), "{error}");
+    }
+}
