--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -31,7 +31,7 @@
 
 /// Default limit of the content of all retained turns, in bytes; docs/CAPACITY.md has the time that
 /// a new replica takes to receive as much.
-pub const MAX_RETAINED_BYTES: u64 = 208 * 1024 * 1024;
+pub const MAX_RETAINED_BYTES: u64 = 192 * 1024 * 1024;
 
 /// Token budget of one program.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
