--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod log;
 pub mod member;
 pub mod memory;
+mod metered;
 mod metrics;
 mod monitor;
 mod node;
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -7,7 +7,8 @@
 
 use crate::connections::{Connection, Connections};
 use crate::journal::Unreachable;
-use crate::memory::{self, Budget, Upload};
+use crate::memory::Budget;
+use crate::metered::{Broken, Metered};
 use crate::replica::MessageSender;
 use crate::rpc::Handler;
 use bytes::{BufMut, Bytes, BytesMut};
@@ -17,7 +18,6 @@
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 use state::collections::Map;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -27,7 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
-use tokio_util::codec::{Decoder, FramedRead, LengthDelimitedCodec};
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 /// First bytes of each connection; a connection that starts with other bytes is closed.
 const PREFACE: [u8; 8] = *b"BKSHELF1";
@@ -71,10 +71,6 @@
 /// frames are queued.
 const WRITE_BUFFER_BYTES: usize = 256 * 1024;
 
-/// Size up to which a message that has not arrived in full is not counted, in bytes; so that the
-/// messages of consensus do not depend on what others hold.
-const UNCOUNTED_BYTES: usize = 16 * 1024;
-
 /// Kind of a frame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -138,63 +134,6 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
-/// Reason why no further frame can be read.
-#[derive(Debug)]
-enum Broken {
-    /// There is no memory for the frame.
-    Full,
-    /// The connection failed, or the frame is too long.
-    Io(io::Error),
-}
-
-impl From<io::Error> for Broken {
-    fn from(error: io::Error) -> Self {
-        Self::Io(error)
-    }
-}
-
-/// Splits received bytes into frames; what has arrived of a frame is taken from the budget.
-struct Metered {
-    codec: LengthDelimitedCodec,
-    budget: Arc<Budget>,
-    /// Notified when the frame has to give way to others.
-    leave: Arc<Notify>,
-    /// The frame that is arriving, if it is counted.
-    upload: Option<Upload>,
-}
-
-impl Metered {
-    fn new(budget: &Arc<Budget>, leave: &Arc<Notify>) -> Self {
-        let (budget, leave) = (budget.clone(), leave.clone());
-        Self { codec: codec(), budget, leave, upload: None }
-    }
-}
-
-impl Decoder for Metered {
-    type Item = BytesMut;
-    type Error = Broken;
-
-    fn decode(&mut self, received: &mut BytesMut) -> Result<Option<BytesMut>, Broken> {
-        let frame = self.codec.decode(received)?;
-        let held = received.len().saturating_sub(UNCOUNTED_BYTES);
-        if held == 0 {
-            self.upload = None;
-            return Ok(frame);
-        }
-        let (budget, leave) = (&self.budget, &self.leave);
-        let upload =
-            self.upload.get_or_insert_with(|| budget.upload(memory::Kind::Message, leave.clone()));
-        upload.advance(held.saturating_sub(upload.grant.bytes()));
-        if upload.grant.try_resize(held).is_err() {
-            // The peer opens a new connection. There is room for its message by then if another
-            // one gives way.
-            budget.make_room();
-            return Err(Broken::Full);
-        }
-        Ok(frame)
-    }
-}
-
 /// Frame to send to a peer.
 enum Outgoing {
     OneWay(Bytes),
@@ -336,7 +275,7 @@
         let (replies, outbox) = mpsc::channel(MAX_QUEUED_FRAMES);
         tokio::spawn(write_frames(output, outbox));
         let leave = Arc::new(Notify::new());
-        let mut frames = FramedRead::new(input, Metered::new(&self.budget, &leave));
+        let mut frames = FramedRead::new(input, Metered::new(codec(), &self.budget, &leave));
         let mut from = String::new();
         loop {
             let frame = tokio::select! {
