feat(coordination): limits on an organisation's requests through all entries

Cause: a configuration limits organisations over all entries together, and nothing counts their requests. Change: every entry reports what it admitted; every control instance relays the sums of the organisations near their limits; each entry computes the same share from them, of which programs are admitted by their rank. No leader, no message on the path of a request. Not wired yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod reach;
 pub mod retry;
 pub mod routing;
+pub mod usage;
 pub mod versions;
 pub mod waiting;
 
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -15,5 +15,6 @@
 mod reach;
 mod retry;
 mod routing;
+mod usage;
 mod util;
 mod waiting;
