feat(gateway): limits of organisations are kept by all entries together

Cause: nothing counted the requests of an organisation with a limit. No load and no deployment with many entries was measured. Conclusion: wired; the clock does not count suspended time yet; bytes and processor time of entries under load are not measured.

--- a/crates/coordination/src/usage/gate.rs
+++ b/crates/coordination/src/usage/gate.rs
@@ -51,6 +51,15 @@
     is_new: bool,
 }
 
+/// Why a request is not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Excess {
+    /// Time after which the caller should come back, in milliseconds.
+    pub retry_ms: Millis,
+    /// Whether the entry is without contact, so that it admits only little.
+    pub is_lone: bool,
+}
+
 /// What an operator sees of one organisation at one entry.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Status {
@@ -90,6 +99,8 @@
     own: u64,
     incarnation: u32,
     entries: u32,
+    /// Time up to which everything is admitted.
+    open_until: Millis,
     accounts: Map<u64, Account>,
     heard: Map<String, Heard>,
     /// Sums that were last relayed while they covered a whole window.
@@ -105,19 +116,19 @@
             own,
             incarnation,
             entries: 0,
+            open_until: 0,
             accounts: Map::default(),
             heard: Map::default(),
             seen: Map::default(),
         }
     }
 
-    /// Admits a request of an organisation, given by its [`super::digest`], or returns the time after
-    /// which its caller should come back, in milliseconds. `rank`, between 0 and 1, is the same for
-    /// all requests of a program; `is_new` says whether the request may begin one.
+    /// Admits a request of an organisation, given by its [`super::digest`]. `rank`, between 0 and 1, is
+    /// the same for all requests of a program; `is_new` says whether the request may begin one.
     ///
     /// # Errors
     ///
-    /// Returns the time to come back if the request is beyond the limit.
+    /// Returns an error if the request is beyond the limit.
     pub fn admit(
         &mut self,
         now: Millis,
@@ -125,7 +136,7 @@
         limit: Limit,
         rank: f64,
         is_new: bool,
-    ) -> Result<Permit, Millis> {
+    ) -> Result<Permit, Excess> {
         let (window, retention) = (self.settings.window_ms, 2 * self.settings.window_ms);
         let account = self.accounts.entry(organisation).or_insert_with(|| Account::new(limit));
         account.limit = limit;
@@ -133,13 +144,14 @@
         asked.add(now, 1, now.saturating_sub(ASKED_MS));
         let share = self.share(now, organisation, is_new);
         let Some(account) = self.accounts.get_mut(&organisation) else {
-            return Err(window);
+            return Err(Excess { retry_ms: window, is_lone: true });
         };
         let own = account.admitted.last(now, window);
         let is_full = f64::from(own) + 1.0 > self.settings.target(limit);
         if is_full || rank >= share {
             let pause = (window as f64 * (1.0 - share.clamp(0.0, 1.0))) as Millis;
-            return Err(pause.max(MIN_RETRY_MS));
+            let is_lone = !self.contact(now).1;
+            return Err(Excess { retry_ms: pause.max(MIN_RETRY_MS), is_lone });
         }
         account.admitted.add(now, 1, now.saturating_sub(retention));
         account.total = account.total.wrapping_add(1);
@@ -147,6 +159,12 @@
         Ok(Permit { organisation, at: now, is_new })
     }
 
+    /// Admits everything for the time until the first sums are known: limits have just been introduced
+    /// on a running entry.
+    pub fn open(&mut self, now: Millis) {
+        self.open_until = now + CONTACT_MS;
+    }
+
     /// Takes back a permit whose request no server executes.
     pub fn give_back(&mut self, permit: Permit) {
         if let Some(account) = self.accounts.get_mut(&permit.organisation) {
@@ -222,6 +240,9 @@
     /// admitted.
     fn share(&mut self, now: Millis, organisation: u64, is_new: bool) -> f64 {
         let (last, is_in_contact) = self.contact(now);
+        if now < self.open_until && last.is_none() {
+            return 1.0;
+        }
         if !is_in_contact {
             return self.share_without_contact(now, last, organisation);
         }
--- a/crates/coordination/src/usage/mod.rs
+++ b/crates/coordination/src/usage/mod.rs
@@ -25,7 +25,7 @@
 mod ledger;
 mod window;
 
-pub use gate::{Gate, Permit, Status};
+pub use gate::{Excess, Gate, Permit, Status};
 pub use ledger::Ledger;
 
 use crate::{Millis, routing};
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -324,12 +324,18 @@
         }
         let is_new = call.index == 0;
         let admitted = match self.load.policy {
-            Policy::Shared => {
-                instance.gate.admit(self.now, ORGANISATION, self.limit, call.rank, is_new).map(drop)
-            }
+            Policy::Shared => instance
+                .gate
+                .admit(self.now, ORGANISATION, self.limit, call.rank, is_new)
+                .map(drop)
+                .map_err(|excess| excess.retry_ms),
             Policy::Scattered => {
                 let rank = self.rng.random();
-                instance.gate.admit(self.now, ORGANISATION, self.limit, rank, false).map(drop)
+                instance
+                    .gate
+                    .admit(self.now, ORGANISATION, self.limit, rank, false)
+                    .map(drop)
+                    .map_err(|excess| excess.retry_ms)
             }
             Policy::Equal => {
                 let window = Settings::default().window_ms;
@@ -563,7 +569,7 @@
         (0..100).filter_map(|_| gate.admit(10_200, ORGANISATION, limit, 0.5, false).ok()).collect();
     assert_eq!(permits.len(), 10, "a gate alone admits the limit");
     assert_eq!(gate.report(10_200).uses[0].admitted, 10);
-    let pause = gate.admit(10_200, ORGANISATION, limit, 0.5, false).unwrap_err();
+    let pause = gate.admit(10_200, ORGANISATION, limit, 0.5, false).unwrap_err().retry_ms;
     assert!((400..=5_000).contains(&pause), "{pause}");
 }
 
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -8,6 +8,7 @@
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
 use coordination::quarantine::Report;
+use coordination::usage;
 use coordination::versions::Settled;
 use serde::{Deserialize, Deserializer, Serialize};
 use state::collections::{Map, Set};
@@ -99,6 +100,10 @@
     /// Earlier builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub fetches_registry: bool,
+    /// What the sender admitted of organisations with a limit; `None` if none has one. Earlier builds
+    /// neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub usage: Option<usage::Report>,
 }
 
 /// Rate limit of a backend server as an instance observed it.
@@ -297,6 +302,10 @@
     /// which do so for entries only, neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub compares_roster: bool,
+    /// What all entries admitted of the organisations near their limits; `None` unless the receiver
+    /// reported what it admitted. Earlier builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub usage: Option<usage::Sums>,
 }
 
 /// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -8,6 +8,7 @@
 use coordination::membership::Candidate;
 use coordination::placement::Listing;
 use coordination::quarantine;
+use coordination::usage;
 use coordination::versions::Settled;
 use protocol::presence::{self, Heartbeat, RateLimit, Relay, Replica, Role, Roster, Update};
 use protocol::transfer;
@@ -55,6 +56,31 @@
     assert!(machine::decode::<T>(&extended).is_ok(), "{name} with a tail");
 }
 
+fn usage_report() -> usage::Report {
+    let used = usage::Use {
+        organisation: 0xbeef_0000_0001,
+        target: 312,
+        admitted: 1_000,
+        begun: 200,
+        recent: 30,
+        asked_new: 2,
+        asked_more: 9,
+    };
+    usage::Report { incarnation: 77, uses: vec![used] }
+}
+
+fn usage_sums() -> usage::Sums {
+    let sum = usage::Sum {
+        organisation: 0xbeef_0000_0001,
+        used: 300,
+        leaving: 60,
+        asked_new: 20,
+        asked_more: 90,
+        length: 96,
+    };
+    usage::Sums { covered_ms: 5_000, entries: 77, controls: 5, near: vec![sum] }
+}
+
 fn members() -> Members {
     let voters = BTreeMap::from([(1, "a:1".to_owned()), (2, "b:1".to_owned())]);
     Members { voters, learners: BTreeMap::from([(3, "c:1".to_owned())]) }
@@ -163,12 +189,15 @@
         build: presence::Build::default(),
         quarantine: quarantine::Report::default(),
         fetches_registry: false,
+        usage: None,
     };
     let build = presence::Build { version: (0, 2, 0), format: 1 };
     let announced = Heartbeat { build, ..heartbeat.clone() };
     let reported = Heartbeat { quarantine: quarantine(), ..announced.clone() };
     let fetching = Heartbeat { fetches_registry: true, ..reported.clone() };
-    check("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
+    let used = Heartbeat { usage: Some(usage_report()), ..fetching.clone() };
+    check("request-heartbeat-usage", &Request::Heartbeat(Box::new(used)));
+    check_without_tail("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
     check_without_tail("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
     check_without_tail("request-heartbeat-build", &Request::Heartbeat(Box::new(announced)));
     check_without_tail("request-heartbeat", &Request::Heartbeat(Box::new(heartbeat)));
@@ -207,6 +236,7 @@
         quarantine: quarantine::Report::default(),
         serves_parts: false,
         compares_roster: false,
+        usage: None,
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -250,7 +280,10 @@
     let relayed = presence::Reply { quarantine: quarantine(), ..extended.clone() };
     let serving = presence::Reply { serves_parts: true, ..relayed.clone() };
     let comparing = presence::Reply { compares_roster: true, ..serving.clone() };
-    check("response-heartbeat-compares-roster", &Response::HeartbeatReply(Box::new(comparing)));
+    let used = presence::Reply { usage: Some(usage_sums()), ..comparing.clone() };
+    check("response-heartbeat-usage", &Response::HeartbeatReply(Box::new(used)));
+    let comparing = Response::HeartbeatReply(Box::new(comparing));
+    check_without_tail("response-heartbeat-compares-roster", &comparing);
     check_without_tail(
         "response-heartbeat-serves-parts",
         &Response::HeartbeatReply(Box::new(serving)),
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -13,6 +13,7 @@
 use crate::gateway::pool::Pool;
 use crate::gateway::server;
 use crate::gateway::stories::{Record, Records};
+use crate::gateway::usage;
 use crate::member::Member;
 use crate::member::servers::{Snapshot, Usage, View};
 use crate::node::Error;
@@ -438,6 +439,10 @@
         let table = tokio::task::spawn_blocking(decode).await;
         match table.unwrap_or_else(|error| Err(error.to_string())) {
             Ok(table) => {
+                let (is_limited, is_first) = (usage::is_limited(&table), self.table().is_none());
+                if self.member.usage.set_limited(self.now(), is_limited, is_first) {
+                    self.member.heartbeat_trigger.notify_one();
+                }
                 self.table.send_replace(Some(Arc::new(table)));
                 tracing::info!(version, "configuration in force");
             }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -17,6 +17,7 @@
 use crate::gateway::sending::Outbound;
 use crate::gateway::server::{Phase, wait_for_phase};
 use crate::gateway::turns::{Admission, Turn};
+use crate::gateway::usage::Permit;
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -109,6 +110,7 @@
         versions: Versions::Any,
         source,
         organisation: None,
+        permit: None,
         checks_keys: false,
     };
     let outcome = match metadata {
@@ -151,6 +153,8 @@
     pub(super) source: Source,
     /// Organisation whose key the caller presented; `None` if no keys are checked.
     pub(super) organisation: Option<Arc<Organisation>>,
+    /// Permission within the limit of the organisation; `None` without a limit.
+    pub(super) permit: Option<Permit>,
     /// Whether keys are checked, on this route or others.
     pub(super) checks_keys: bool,
 }
@@ -260,12 +264,16 @@
         let metadata = scoped.as_ref();
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = self.progress.started + timeout;
+        if !self.should_forward() {
+            self.admit(metadata, &route)?;
+        }
         let body = read_body(body, table.limits().body_bytes, deadline).await?;
         if self.should_forward()
             && let Some(answered) = self.forward(metadata, &route, &head, &body, deadline).await?
         {
             return Ok(answered);
         }
+        self.admit(metadata, &route)?;
         let service = route.pick(rand::rng().next_u64());
         self.await_versions(metadata, &route, service, deadline).await?;
         let start = self.start_of_stream(metadata, &route, service)?;
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -14,6 +14,14 @@
     outcome: String,
 }
 
+/// Label of what became of an organisation's requests. Organisations are those of the configuration, so
+/// the number of time series is bounded.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OrganisationLabel {
+    organisation: String,
+    outcome: &'static str,
+}
+
 /// All metrics of an entry.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -32,6 +40,7 @@
     pub(crate) limited_servers: Gauge,
     leaving_servers: Family<Label, Gauge>,
     pub(crate) waiting: Gauge,
+    organisations: Family<OrganisationLabel, Counter>,
 }
 
 fn latency() -> Histogram {
@@ -85,6 +94,9 @@
         registry.register("leaving_servers", help, leaving_servers.clone());
         let waiting = Gauge::default();
         registry.register("waiting", "Requests that wait for a backend server", waiting.clone());
+        let organisations = Family::<OrganisationLabel, Counter>::default();
+        let help = "Requests of organisations with a limit, by outcome of the admission";
+        registry.register("organisation_requests", help, organisations.clone());
         Self {
             registry,
             requests,
@@ -102,6 +114,7 @@
             limited_servers,
             leaving_servers,
             waiting,
+            organisations,
         }
     }
 
@@ -109,6 +122,11 @@
         self.requests.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    pub(crate) fn organisation(&self, name: &str, outcome: &'static str) {
+        let label = OrganisationLabel { organisation: name.to_owned(), outcome };
+        self.organisations.get_or_create(&label).inc();
+    }
+
     pub(crate) fn attempt(&self, outcome: &str) {
         self.attempts.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod server;
 mod stories;
 mod turns;
+mod usage;
 mod waiter;
 
 pub use connector::{ConnectFuture, Connector, Direct};
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -134,7 +134,11 @@
             // Waiting for a server takes time, in which the content may be quarantined.
             self.check_quarantine(outbound)?;
             attempted.push(attempt.server.id.clone());
-            match self.attempt(outbound, attempt, &attempted).await {
+            let result = self.attempt(outbound, attempt, &attempted).await;
+            if matches!(result, AttemptResult::Unavailable | AttemptResult::Full) {
+                self.set_permit_used(false);
+            }
+            match result {
                 AttemptResult::Answered(answered) => {
                     if matches!(self.versions, Versions::Only(_)) {
                         self.entry.metrics.resumption("answered");
@@ -166,6 +170,7 @@
                     if !may_repeat || self.progress.attempts >= outbound.route.max_attempts {
                         return Err(Refusal::new(Kind::Failed, detail).into());
                     }
+                    self.renew_permit()?;
                 }
                 AttemptResult::DeadlineExceeded => {
                     let detail = "the backend server did not respond before the deadline";
@@ -383,6 +388,7 @@
                 "request sent"
             );
             self.is_sent.store(true, Ordering::Relaxed);
+            self.set_permit_used(true);
             let sent = self.wait(outbound, connection.send(request), remaining, attempted).await;
             let response = match sent {
                 Ok(Ok(response)) => response,
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -136,6 +136,7 @@
         build: BUILD,
         quarantine,
         fetches_registry: true,
+        usage: member.usage.report(now),
     }
 }
 
@@ -194,6 +195,9 @@
         });
     }
     member.extend_quarantine(from, &reply.quarantine);
+    // The sums are as old as the heartbeat: the reply may have arrived while this instance did not run.
+    let age = millis(sent_at.elapsed());
+    member.usage.learn(member.clock.now().saturating_sub(age), from, reply.usage);
     // Earlier builds compare the roster of an entry whenever they relay the list to it.
     let is_entry = member.settings.role == Role::Entry;
     let compares_roster = reply.compares_roster || (is_relayed && is_entry);
--- a/crates/transport/src/member/mod.rs
+++ b/crates/transport/src/member/mod.rs
@@ -14,6 +14,7 @@
 mod replica;
 pub(crate) mod servers;
 mod settings;
+pub(crate) mod usage;
 
 pub(crate) use metrics::Metrics;
 pub use node::Member;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -9,6 +9,7 @@
 use crate::member::fetch::{self, Packages};
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
+use crate::member::usage::Usage;
 use crate::member::{Metrics, Settings, beats, servers};
 use crate::node::Error;
 use crate::replica::{Handle, Job};
@@ -94,6 +95,8 @@
     pub(crate) duplicates: Mutex<Vec<Listing>>,
     /// Content that crashes backend servers.
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// What organisations use of their limits.
+    pub(crate) usage: Usage,
     /// Registries that this control instance serves in parts.
     pub(crate) packages: Mutex<Packages>,
     /// Registries that control instances have.
@@ -135,6 +138,7 @@
             usage_source: OnceLock::new(),
             duplicates: Mutex::default(),
             quarantine: Mutex::default(),
+            usage: Usage::new(&settings.usage, &settings.name, 0),
             packages: Mutex::default(),
             offers: Mutex::default(),
             newer_offered: Notify::new(),
@@ -409,6 +413,7 @@
         };
         self.extend_quarantine(&heartbeat.name, &heartbeat.quarantine);
         let quarantine = if is_relayed { self.relay_quarantine() } else { Report::default() };
+        let reported = heartbeat.usage.clone();
         let Ok(mut presence) = self.presence.lock() else {
             return Response::Unknown;
         };
@@ -450,6 +455,9 @@
                 "registry sent"
             );
         }
+        let members = self.handle().map_or(0, |handle| handle.status.borrow().members.len());
+        let controls = control.len().max(members);
+        let usage = self.usage.exchange(self.clock.now(), &name, reported.as_ref(), controls);
         let reply = Reply {
             registry: sends_registry.then(|| Registry::clone(&registry)),
             control,
@@ -465,6 +473,7 @@
             quarantine,
             serves_parts: true,
             compares_roster,
+            usage,
         };
         Response::HeartbeatReply(Box::new(reply))
     }
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an instance that discovers the others from a few seed addresses.
 
+use coordination::usage;
 use protocol::presence::Role;
 use state::disk::{Disk, Local};
 use std::path::PathBuf;
@@ -45,6 +46,8 @@
     /// Time since the last heartbeat after which an instance counts as absent: several lost
     /// heartbeats.
     pub absence_timeout: Duration,
+    /// How requests are counted against the limits of organisations.
+    pub usage: usage::Settings,
 }
 
 impl Default for Settings {
@@ -66,6 +69,7 @@
             compact_bytes: 8 * 1024 * 1024,
             heartbeat_interval: Duration::from_millis(200),
             absence_timeout: Duration::from_millis(600),
+            usage: usage::Settings::default(),
         }
     }
 }
