--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -14,12 +14,12 @@
     outcome: String,
 }
 
-/// Label of what became of an organisation's requests. Organisations are those of the configuration, so
-/// the number of time series is bounded.
+/// Labels of what is counted by organisation. Names come from the configuration and reasons are a fixed
+/// set, so the number of time series is bounded.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct OrganisationLabel {
     organisation: String,
-    outcome: &'static str,
+    outcome: String,
 }
 
 /// All metrics of an entry.
@@ -30,6 +30,9 @@
     resumptions: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
     losses: Family<Label, Counter>,
+    organisations: Family<OrganisationLabel, Counter>,
+    lease_age: Gauge,
+    lease_held: Gauge,
     pub(crate) partitioned: Gauge,
     pub(crate) first_byte: Histogram,
     pub(crate) duration: Histogram,
@@ -40,7 +43,7 @@
     pub(crate) limited_servers: Gauge,
     leaving_servers: Family<Label, Gauge>,
     pub(crate) waiting: Gauge,
-    organisations: Family<OrganisationLabel, Counter>,
+    capped: Family<OrganisationLabel, Counter>,
 }
 
 fn latency() -> Histogram {
@@ -67,6 +70,16 @@
         let losses = Family::<Label, Counter>::default();
         let help = "Responses that were lost, by what became of the server";
         registry.register("lost_responses", help, losses.clone());
+        let organisations = Family::<OrganisationLabel, Counter>::default();
+        let help = "Requests with the key of an organisation, and refusals by reason";
+        registry.register("organisation_requests", help, organisations.clone());
+        let lease_age = Gauge::default();
+        let help =
+            "Time since the configuration was last confirmed as the newest, -1 before, in ms";
+        registry.register("lease_age_milliseconds", help, lease_age.clone());
+        let lease_held = Gauge::default();
+        let help = "1 while keys are accepted, otherwise 0; 0 if that needs no lease";
+        registry.register("lease_held", help, lease_held.clone());
         let partitioned = Gauge::default();
         let help = "1 while no backend server is reached, otherwise 0";
         registry.register("partitioned", help, partitioned.clone());
@@ -94,9 +107,9 @@
         registry.register("leaving_servers", help, leaving_servers.clone());
         let waiting = Gauge::default();
         registry.register("waiting", "Requests that wait for a backend server", waiting.clone());
-        let organisations = Family::<OrganisationLabel, Counter>::default();
+        let capped = Family::<OrganisationLabel, Counter>::default();
         let help = "Requests of organisations with a limit, by outcome of the admission";
-        registry.register("organisation_requests", help, organisations.clone());
+        registry.register("capped_requests", help, capped.clone());
         Self {
             registry,
             requests,
@@ -104,6 +117,9 @@
             resumptions,
             forwarded,
             losses,
+            organisations,
+            lease_age,
+            lease_held,
             partitioned,
             first_byte,
             duration,
@@ -114,7 +130,7 @@
             limited_servers,
             leaving_servers,
             waiting,
-            organisations,
+            capped,
         }
     }
 
@@ -122,9 +138,10 @@
         self.requests.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
-    pub(crate) fn organisation(&self, name: &str, outcome: &'static str) {
-        let label = OrganisationLabel { organisation: name.to_owned(), outcome };
-        self.organisations.get_or_create(&label).inc();
+    /// Counts an admission within the limit of an organisation, or its refusal or return.
+    pub(crate) fn capped(&self, name: &str, outcome: &str) {
+        let (organisation, outcome) = (name.to_owned(), outcome.to_owned());
+        self.capped.get_or_create(&OrganisationLabel { organisation, outcome }).inc();
     }
 
     pub(crate) fn attempt(&self, outcome: &str) {
@@ -143,6 +160,28 @@
         self.losses.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    /// Counts a request that carries the key of an organisation.
+    pub(crate) fn organisation_request(&self, organisation: &str) {
+        self.count_for_organisation(organisation, "accepted");
+    }
+
+    /// Counts a refusal; the name is empty if the key belongs to no organisation.
+    pub(crate) fn organisation_refusal(&self, organisation: &str, reason: &str) {
+        self.count_for_organisation(organisation, reason);
+    }
+
+    fn count_for_organisation(&self, organisation: &str, outcome: &str) {
+        let (organisation, outcome) = (organisation.to_owned(), outcome.to_owned());
+        self.organisations.get_or_create(&OrganisationLabel { organisation, outcome }).inc();
+    }
+
+    /// Sets the age of the lease on the configuration.
+    pub(crate) fn lease(&self, age_ms: Option<u64>, is_held: bool) {
+        let age_ms = age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+        self.lease_age.set(age_ms);
+        self.lease_held.set(i64::from(is_held));
+    }
+
     pub(crate) fn leaving(&self, source: &str, count: usize) {
         let label = Label { outcome: source.to_owned() };
         self.leaving_servers.get_or_create(&label).set(count as i64);
--- a/crates/transport/src/gateway/usage.rs
+++ b/crates/transport/src/gateway/usage.rs
@@ -39,7 +39,7 @@
         if let Ok(mut gate) = self.entry.member.usage.gate.lock() {
             gate.give_back(self.permit);
         }
-        self.entry.metrics.organisation(&self.organisation.name, "given back");
+        self.entry.metrics.capped(&self.organisation.name, "given back");
     }
 }
 
@@ -123,13 +123,13 @@
     };
     match admitted {
         Ok(permit) => {
-            entry.metrics.organisation(&organisation.name, "admitted");
+            entry.metrics.capped(&organisation.name, "admitted");
             let (entry, is_used) = (entry.clone(), AtomicBool::new(false));
             Ok(Some(Permit { entry, permit, organisation, rate, is_used }))
         }
         Err(Excess { retry_ms, is_lone }) => {
             let outcome = if is_lone { "refused without contact" } else { "refused" };
-            entry.metrics.organisation(&organisation.name, outcome);
+            entry.metrics.capped(&organisation.name, outcome);
             let name = &organisation.name;
             let Rate { per_second, burst } = rate;
             let mut detail = format!(
