--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod retry;
 pub mod routing;
 pub mod silence;
+pub mod usage;
 pub mod versions;
 pub mod waiting;
 
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -22,5 +22,6 @@
 mod retry;
 mod routing;
 mod silence;
+mod usage;
 mod util;
 mod waiting;
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -10,6 +10,7 @@
 use coordination::pace::Step;
 use coordination::placement::Listing;
 use coordination::quarantine::Report;
+use coordination::usage;
 use coordination::versions::Settled;
 use serde::{Deserialize, Deserializer, Serialize};
 use state::collections::{Map, Set};
@@ -101,6 +102,10 @@
     /// Earlier builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub fetches_registry: bool,
+    /// What the sender admitted of organisations with a limit; `None` if none has one. Earlier builds
+    /// neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub usage: Option<usage::Report>,
     /// Paces of backend servers' streams that the sender observed since its last heartbeat, by id. Earlier
     /// builds neither send nor read them.
     #[serde(deserialize_with = "tail")]
@@ -307,6 +312,10 @@
     /// Earlier builds neither send nor read it.
     #[serde(deserialize_with = "tail")]
     pub confirmation: Option<Confirmation>,
+    /// What all entries admitted of the organisations near their limits; `None` unless the receiver
+    /// reported what it admitted. Earlier builds neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub usage: Option<usage::Sums>,
     /// Paces of the listed backend servers, in the order of the list, for entries; empty if none is known. Earlier
     /// builds neither send nor read them.
     #[serde(deserialize_with = "tail")]
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -10,6 +10,7 @@
 use coordination::pace::Step;
 use coordination::placement::Listing;
 use coordination::quarantine;
+use coordination::usage;
 use coordination::versions::Settled;
 use protocol::presence::{self, Heartbeat, RateLimit, Relay, Replica, Role, Roster, Update};
 use protocol::transfer;
@@ -57,6 +58,31 @@
     assert!(machine::decode::<T>(&extended).is_ok(), "{name} with a tail");
 }
 
+fn usage_report() -> usage::Report {
+    let used = usage::Use {
+        organisation: 0xbeef_0000_0001,
+        target: 312,
+        admitted: 1_000,
+        begun: 200,
+        recent: 30,
+        asked_new: 2,
+        asked_more: 9,
+    };
+    usage::Report { incarnation: 77, uses: vec![used] }
+}
+
+fn usage_sums() -> usage::Sums {
+    let sum = usage::Sum {
+        organisation: 0xbeef_0000_0001,
+        used: 300,
+        leaving: 60,
+        asked_new: 20,
+        asked_more: 90,
+        length: 96,
+    };
+    usage::Sums { covered_ms: 5_000, entries: 77, controls: 5, near: vec![sum] }
+}
+
 fn members() -> Members {
     let voters = BTreeMap::from([(1, "a:1".to_owned()), (2, "b:1".to_owned())]);
     Members { voters, learners: BTreeMap::from([(3, "c:1".to_owned())]) }
@@ -165,14 +191,17 @@
         build: presence::Build::default(),
         quarantine: quarantine::Report::default(),
         fetches_registry: false,
+        usage: None,
         paces: Vec::new(),
     };
     let build = presence::Build { version: (0, 2, 0), format: 1 };
     let announced = Heartbeat { build, ..heartbeat.clone() };
     let reported = Heartbeat { quarantine: quarantine(), ..announced.clone() };
     let fetching = Heartbeat { fetches_registry: true, ..reported.clone() };
-    let paced = Heartbeat { paces: vec![("s1".into(), Step(42))], ..fetching.clone() };
+    let used = Heartbeat { usage: Some(usage_report()), ..fetching.clone() };
+    let paced = Heartbeat { paces: vec![("s1".into(), Step(42))], ..used.clone() };
     check("request-heartbeat-paces", &Request::Heartbeat(Box::new(paced)));
+    check_without_tail("request-heartbeat-usage", &Request::Heartbeat(Box::new(used)));
     check_without_tail("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
     check_without_tail("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
     check_without_tail("request-heartbeat-build", &Request::Heartbeat(Box::new(announced)));
@@ -213,6 +242,7 @@
         serves_parts: false,
         compares_roster: false,
         confirmation: None,
+        usage: None,
         paces: Vec::new(),
         roster: Some(Roster {
             digest: 78,
@@ -259,12 +289,12 @@
     let comparing = presence::Reply { compares_roster: true, ..serving.clone() };
     let confirmation = Some(Confirmation { revision: 3, age_ms: 300 });
     let confirming = presence::Reply { confirmation, ..comparing.clone() };
-    let paced = presence::Reply { paces: vec![Step(42)], ..confirming.clone() };
+    let used = presence::Reply { usage: Some(usage_sums()), ..confirming.clone() };
+    let paced = presence::Reply { paces: vec![Step(42)], ..used.clone() };
     check("response-heartbeat-paces", &Response::HeartbeatReply(Box::new(paced)));
-    check_without_tail(
-        "response-heartbeat-confirmation",
-        &Response::HeartbeatReply(Box::new(confirming)),
-    );
+    check_without_tail("response-heartbeat-usage", &Response::HeartbeatReply(Box::new(used)));
+    let confirming = Response::HeartbeatReply(Box::new(confirming));
+    check_without_tail("response-heartbeat-confirmation", &confirming);
     check_without_tail(
         "response-heartbeat-compares-roster",
         &Response::HeartbeatReply(Box::new(comparing)),
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -45,6 +45,7 @@
     leaving_servers: Family<Label, Gauge>,
     crossings: Family<Label, Counter>,
     pub(crate) waiting: Gauge,
+    capped: Family<OrganisationLabel, Counter>,
 }
 
 fn latency() -> Histogram {
@@ -114,6 +115,9 @@
         registry.register("leaving_servers", help, leaving_servers.clone());
         let waiting = Gauge::default();
         registry.register("waiting", "Requests that wait for a backend server", waiting.clone());
+        let capped = Family::<OrganisationLabel, Counter>::default();
+        let help = "Requests of organisations with a limit, by outcome of the admission";
+        registry.register("capped_requests", help, capped.clone());
         Self {
             registry,
             requests,
@@ -136,6 +140,7 @@
             leaving_servers,
             crossings,
             waiting,
+            capped,
         }
     }
 
@@ -143,6 +148,12 @@
         self.requests.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
 
+    /// Counts an admission within the limit of an organisation, or its refusal or return.
+    pub(crate) fn capped(&self, name: &str, outcome: &str) {
+        let (organisation, outcome) = (name.to_owned(), outcome.to_owned());
+        self.capped.get_or_create(&OrganisationLabel { organisation, outcome }).inc();
+    }
+
     pub(crate) fn attempt(&self, outcome: &str) {
         self.attempts.get_or_create(&Label { outcome: outcome.to_owned() }).inc();
     }
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod silence;
 mod stories;
 mod turns;
+mod usage;
 mod waiter;
 
 pub use connector::{ConnectFuture, Connector, Direct};
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -9,6 +9,7 @@
 use crate::member::fetch::{self, Packages};
 use crate::member::register::Tracker;
 use crate::member::replica::{CONTROL, PROGRAMS, Replica, control_initial_members};
+use crate::member::usage::Usage;
 use crate::member::{Metrics, Settings, authority, beats, servers};
 use crate::memory::Budget;
 use crate::node::Error;
@@ -96,6 +97,8 @@
     pub(crate) duplicates: Mutex<Vec<Listing>>,
     /// Content that crashes backend servers.
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// What organisations use of their limits.
+    pub(crate) usage: Usage,
     /// Registries that this control instance serves in parts.
     pub(crate) packages: Mutex<Packages>,
     /// Registries that control instances have.
@@ -144,6 +147,7 @@
             usage_source: OnceLock::new(),
             duplicates: Mutex::default(),
             quarantine: Mutex::default(),
+            usage: Usage::new(&settings.usage, &settings.name, 0),
             packages: Mutex::default(),
             offers: Mutex::default(),
             newer_offered: Notify::new(),
@@ -423,6 +427,7 @@
         };
         self.extend_quarantine(&heartbeat.name, &heartbeat.quarantine);
         let quarantine = if is_relayed { self.relay_quarantine() } else { Report::default() };
+        let reported = heartbeat.usage.clone();
         let Ok(mut presence) = self.presence.lock() else {
             return Response::Unknown;
         };
@@ -466,6 +471,9 @@
                 "registry sent"
             );
         }
+        let members = self.handle().map_or(0, |handle| handle.status.borrow().members.len());
+        let controls = control.len().max(members);
+        let usage = self.usage.exchange(self.clock.now(), &name, reported.as_ref(), controls);
         let reply = Reply {
             registry: sends_registry.then(|| Registry::clone(&registry)),
             control,
@@ -482,6 +490,7 @@
             serves_parts: true,
             compares_roster,
             confirmation: self.confirmation(),
+            usage,
             paces: paced.map(|list| presence.paces(&list, now)).unwrap_or_default(),
         };
         Response::HeartbeatReply(Box::new(reply))
--- a/crates/transport/src/member/settings.rs
+++ b/crates/transport/src/member/settings.rs
@@ -3,6 +3,7 @@
 use crate::connections;
 use crate::member::Metrics;
 use crate::memory::{self, Budget};
+use coordination::usage;
 use protocol::presence::Role;
 use state::disk::{Disk, Local};
 use std::path::PathBuf;
@@ -62,6 +63,8 @@
     /// Time after the acknowledgement of a configuration in which each entry, reached by it or not,
     /// stops accepting the keys that it takes away; `None` if entries without contact may go on.
     pub revocation: Option<Duration>,
+    /// How requests are counted against the limits of organisations.
+    pub usage: usage::Settings,
 }
 
 impl Default for Settings {
@@ -87,6 +90,7 @@
             heartbeat_interval: Duration::from_millis(200),
             absence_timeout: Duration::from_millis(600),
             revocation: None,
+            usage: usage::Settings::default(),
         }
     }
 }
