fix(usage): later turns of programs are refused as new programs far below the limit

Change: no bound on new programs while more than a second's rate is left of the window. The new replay fails without the change and passes with it; the 10 others of usage pass. Conclusion: whole programs are still kept once the window is nearly used up.

--- a/crates/coordination/src/usage/gate.rs
+++ b/crates/coordination/src/usage/gate.rs
@@ -391,6 +391,8 @@
         // Each program that begins takes more requests later than now.
         let rate = limit.per_second + free.max(0.0) / second(FREE_MS);
         let begun = rate / (f64::from(sum.length) / 16.0).max(1.0);
+        // With much room left, the later turns of programs, which can't always be told from first ones, must not be refused.
+        let begun = if free > limit.per_second { f64::INFINITY } else { begun };
         let rest = (budget - asked_more).max(0.0);
         Self { new: share(rest.min(begun), asked_new), more: share(budget, asked_more) }
     }
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -1,7 +1,7 @@
 //! Tests of the limits on the requests of organisations, by replayed loads.
 
 use coordination::Millis;
-use coordination::usage::{self, Gate, Ledger, Limit, Report, Settings, Sums};
+use coordination::usage::{self, Gate, Ledger, Limit, Report, Settings, Sum, Sums};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -599,3 +599,20 @@
     assert!(sums.near.is_empty(), "{sums:?}");
     assert!(size(&gate.report(14_000)) <= 8);
 }
+
+/// Load pattern: programs on a route that doesn't retain turns, so that each turn looks like the first one of a program, of an
+/// organisation that uses two thirds of its limit.
+#[test]
+fn turns_that_look_like_first_ones_are_refused_while_much_is_left() {
+    let limit = Limit { per_second: 85.0, burst: 85.0 };
+    let organisation = usage::digest("o");
+    let mut gate = Gate::new(Settings::default(), "e1", 1);
+    let sum =
+        Sum { organisation, used: 356, leaving: 70, asked_new: 6, asked_more: 9, length: 20 * 16 };
+    for now in (10_000..12_000).step_by(200) {
+        let sums = Sums { covered_ms: 5_000, entries: 20, controls: 1, near: vec![sum] };
+        gate.learn(now, "c1", sums);
+        let admitted = gate.admit(now, organisation, limit, 0.95, true);
+        assert!(admitted.is_ok(), "at {now}: {admitted:?}");
+    }
+}
