--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -1,6 +1,6 @@
 //! Accounting of the memory that a process holds for others.
 //!
-//! A [`Budget`] is shared by all servers of a process. Bytes are taken from it as a [`Grant`]
+//! A [`Budget`] is shared by all servers of a process. Bytes are taken from it as a `Grant`
 //! before they are held, and returned when the grant is dropped. If it is used up, the upload that
 //! [`coordination::memory`] chooses gives way.
 
