--- a/crates/coordination/src/consensus/retention.rs
+++ b/crates/coordination/src/consensus/retention.rs
@@ -1,7 +1,7 @@
 //! Bytes that a replica holds for others: the log that it keeps, the entries that it accepts and
 //! those that it has in flight.
 //!
-//! Load patterns: many changes of one large object, such as the desired state, after which a new
+//! Load patterns: many changes of one large object, such as the configuration, after which a new
 //! replica needs the newest only; and a replica that is receiving a snapshot while proposals go
 //! on. Entries differ in size by four orders of magnitude, so every limit counts bytes:
 //!
