--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -44,6 +44,10 @@
     lag: Family<GroupLabel, Gauge>,
     log_bytes: Family<GroupLabel, Gauge>,
     refused_full: Family<GroupLabel, Gauge>,
+    requests: Family<GroupLabel, Gauge>,
+    wait_micros: Family<GroupLabel, Gauge>,
+    overdue: Family<GroupLabel, Gauge>,
+    unanswered: Family<GroupLabel, Gauge>,
     syncs: Family<GroupLabel, Gauge>,
     sync_micros: Family<GroupLabel, Gauge>,
     bytes: Family<GroupLabel, Gauge>,
@@ -114,6 +118,14 @@
         registry.register("journal_log_bytes", help, self.log_bytes.clone());
         let help = "Commands refused because too many bytes wait for a quorum or are retained";
         registry.register("journal_refused_full", help, self.refused_full.clone());
+        let help = "Commands and queries that reached the replica";
+        registry.register("journal_requests", help, self.requests.clone());
+        let help = "Time that commands and queries waited for the replica, in microseconds";
+        registry.register("journal_wait_micros", help, self.wait_micros.clone());
+        let help = "Commands and queries that waited longer than their senders do";
+        registry.register("journal_overdue", help, self.overdue.clone());
+        let help = "Commands and queries without a result";
+        registry.register("journal_unanswered", help, self.unanswered.clone());
         registry.register("journal_syncs", "Syncs", self.syncs.clone());
         registry.register(
             "journal_sync_micros",
@@ -138,6 +150,10 @@
             (&self.lag, lag),
             (&self.log_bytes, status.log_bytes),
             (&self.refused_full, status.refused_full),
+            (&self.requests, status.requests),
+            (&self.wait_micros, status.wait_micros),
+            (&self.overdue, status.overdue),
+            (&self.unanswered, status.unanswered as u64),
             (&self.syncs, status.syncs),
             (&self.sync_micros, status.sync_micros),
             (&self.bytes, status.bytes_written),
--- a/crates/transport/src/replica/handle.rs
+++ b/crates/transport/src/replica/handle.rs
@@ -4,6 +4,7 @@
 use coordination::membership::Candidate;
 use protocol::wire::Envelope;
 use std::sync::mpsc::Sender;
+use std::time::Instant;
 use tokio::sync::{oneshot, watch};
 
 /// Sends consensus messages to the other replicas of a group.
@@ -35,9 +36,9 @@
     /// Consensus messages received from an instance, with the ids of the sending replicas.
     Messages { instance: String, messages: Vec<(Id, Message)> },
     /// A command to replicate; answered once it is applied.
-    Submit { command: Vec<u8>, reply: oneshot::Sender<Outcome> },
+    Submit { command: Vec<u8>, arrived_at: Instant, reply: oneshot::Sender<Outcome> },
     /// A linearizable query.
-    Query { query: Vec<u8>, reply: oneshot::Sender<Outcome> },
+    Query { query: Vec<u8>, arrived_at: Instant, reply: oneshot::Sender<Outcome> },
     /// A query of the state that the local replica has applied, which may be outdated.
     QueryApplied { query: Vec<u8>, reply: oneshot::Sender<Outcome> },
     /// A request to add a replica, which replaces the previous replica of its instance.
@@ -68,6 +69,14 @@
     /// Commands refused since the start because too many bytes waited for a quorum or
     /// were retained.
     pub(crate) refused_full: u64,
+    /// Commands and queries that reached the replica's thread since the start.
+    pub(crate) requests: u64,
+    /// Total time that they had waited for it, in microseconds.
+    pub(crate) wait_micros: u64,
+    /// Those that had waited for longer than their senders wait for a response.
+    pub(crate) overdue: u64,
+    /// Commands and queries without a result.
+    pub(crate) unanswered: usize,
     /// Name or address of the instance that leads.
     pub(crate) leader: Option<String>,
     /// Replica id, instance, and whether the replica votes.
@@ -93,7 +102,8 @@
     /// Replicates a command and returns the reply of the state machine.
     pub(crate) async fn submit(&self, command: Vec<u8>) -> Outcome {
         let (reply, response) = oneshot::channel();
-        if self.jobs.send(Job::Submit { command, reply }).is_err() {
+        let arrived_at = Instant::now();
+        if self.jobs.send(Job::Submit { command, arrived_at, reply }).is_err() {
             return Outcome::NotLeader(None);
         }
         response.await.unwrap_or(Outcome::Unknown)
@@ -102,7 +112,8 @@
     /// Runs a linearizable query.
     pub(crate) async fn query(&self, query: Vec<u8>) -> Outcome {
         let (reply, response) = oneshot::channel();
-        if self.jobs.send(Job::Query { query, reply }).is_err() {
+        let arrived_at = Instant::now();
+        if self.jobs.send(Job::Query { query, arrived_at, reply }).is_err() {
             return Outcome::NotLeader(None);
         }
         response.await.unwrap_or(Outcome::Unknown)
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -4,7 +4,7 @@
 //! that the consensus algorithm returns. Messages that arrive together are handled before a
 //! single sync (group commit).
 
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::replica::{Handle, Job, MessageSender, Outcome, Status};
 use crate::storage::{Group, Identity};
 use coordination::Millis;
@@ -34,6 +34,15 @@
 /// Maximum number of queued jobs handled before one sync.
 const MAX_BATCH: usize = 512;
 
+/// Time that a command may wait for the thread without a line in the log.
+const USUAL_WAIT: Duration = Duration::from_millis(200);
+
+/// Time after which the sender of a command gives up; that of [`crate::leaders::Settings`].
+const SENDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Shortest interval between two lines in the log on commands that waited.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of commands refused for lack of room for each line in the log.
 const REFUSALS_PER_LOG_LINE: u64 = 1_000;
 
@@ -95,6 +104,8 @@
     /// Replacements in progress, by the id of the joining replica.
     replacements: Map<Id, Replacement>,
     applied: u64,
+    /// Time of the last line in the log on commands that waited.
+    wait_logged_at: Option<Instant>,
     status: Status,
     status_sender: watch::Sender<Status>,
 }
@@ -132,6 +143,7 @@
             waiting_reads: Vec::new(),
             replacements: Map::default(),
             applied,
+            wait_logged_at: None,
             status: Status::default(),
             status_sender,
         }
@@ -170,7 +182,8 @@
                     self.replica.receive(now, from, message);
                 }
             }
-            Job::Submit { command, reply } => {
+            Job::Submit { command, arrived_at, reply } => {
+                self.record_wait(arrived_at);
                 if self.replica.is_leader() && !self.state_machine.has_room(&command) {
                     return self.refuse(Refusal::Full, reply);
                 }
@@ -180,7 +193,8 @@
                     Err(refusal) => self.refuse(refusal, reply),
                 }
             }
-            Job::Query { query, reply } => {
+            Job::Query { query, arrived_at, reply } => {
+                self.record_wait(arrived_at);
                 let token = self.next_token();
                 match self.replica.read(now, token) {
                     Ok(()) => {
@@ -204,6 +218,28 @@
         }
     }
 
+    /// Records how long a command or query has waited for the thread.
+    fn record_wait(&mut self, arrived_at: Instant) {
+        let waited = arrived_at.elapsed();
+        self.status.requests += 1;
+        self.status.wait_micros += u64::try_from(waited.as_micros()).unwrap_or(0);
+        self.status.overdue += u64::from(waited >= SENDER_TIMEOUT);
+        let is_due = self.wait_logged_at.is_none_or(|at| at.elapsed() >= WAIT_LOG_INTERVAL);
+        if waited > USUAL_WAIT && is_due {
+            self.wait_logged_at = Some(Instant::now());
+            tracing::warn!(
+                group = self.group,
+                waited_ms = millis(waited),
+                unanswered = self.pending.len(),
+                uncommitted = self.replica.last_index() - self.replica.commit(),
+                overdue = self.status.overdue,
+                requests = self.status.requests,
+                is_leader = self.replica.is_leader(),
+                "commands wait long for the journal"
+            );
+        }
+    }
+
     /// Answers a command that was not appended; its sender repeats it.
     fn refuse(&mut self, refusal: Refusal, reply: oneshot::Sender<Outcome>) {
         if refusal == Refusal::Full {
@@ -482,6 +518,7 @@
             last_index: self.replica.last_index(),
             base_index: self.replica.base_index(),
             log_bytes: self.replica.log_bytes(),
+            unanswered: self.pending.len(),
             leader: self.leader_instance(),
             members: voters.chain(learners).collect(),
             is_settled: self.replica.is_settled(),
