--- a/crates/transport/src/inspect.rs
+++ b/crates/transport/src/inspect.rs
@@ -103,7 +103,7 @@
                 "members": status.members, "syncs": status.syncs,
                 "sync_micros": status.sync_micros, "bytes_written": status.bytes_written,
                 "log_bytes": status.log_bytes, "refused_full": status.refused_full,
-                "requests": status.requests, "wait_micros": status.wait_micros,
+                "answered": status.answered, "answer_micros": status.answer_micros,
                 "overdue": status.overdue, "unanswered": status.unanswered,
                 "fault": status.fault,
                 "machine": serde_json::from_str::<Value>(&state_machine).unwrap_or(Value::Null),
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -44,8 +44,8 @@
     lag: Family<GroupLabel, Gauge>,
     log_bytes: Family<GroupLabel, Gauge>,
     refused_full: Family<GroupLabel, Gauge>,
-    requests: Family<GroupLabel, Gauge>,
-    wait_micros: Family<GroupLabel, Gauge>,
+    answered: Family<GroupLabel, Gauge>,
+    answer_micros: Family<GroupLabel, Gauge>,
     overdue: Family<GroupLabel, Gauge>,
     unanswered: Family<GroupLabel, Gauge>,
     syncs: Family<GroupLabel, Gauge>,
@@ -118,11 +118,11 @@
         registry.register("journal_log_bytes", help, self.log_bytes.clone());
         let help = "Commands refused because too many bytes wait for a quorum or are retained";
         registry.register("journal_refused_full", help, self.refused_full.clone());
-        let help = "Commands and queries that reached the replica";
-        registry.register("journal_requests", help, self.requests.clone());
-        let help = "Time that commands and queries waited for the replica, in microseconds";
-        registry.register("journal_wait_micros", help, self.wait_micros.clone());
-        let help = "Commands and queries that waited longer than their senders do";
+        let help = "Commands and queries with a result";
+        registry.register("journal_answered", help, self.answered.clone());
+        let help = "Time from the arrival of commands and queries to the result, in microseconds";
+        registry.register("journal_answer_micros", help, self.answer_micros.clone());
+        let help = "Commands and queries that took longer than their senders wait";
         registry.register("journal_overdue", help, self.overdue.clone());
         let help = "Commands and queries without a result";
         registry.register("journal_unanswered", help, self.unanswered.clone());
@@ -150,8 +150,8 @@
             (&self.lag, lag),
             (&self.log_bytes, status.log_bytes),
             (&self.refused_full, status.refused_full),
-            (&self.requests, status.requests),
-            (&self.wait_micros, status.wait_micros),
+            (&self.answered, status.answered),
+            (&self.answer_micros, status.answer_micros),
             (&self.overdue, status.overdue),
             (&self.unanswered, status.unanswered as u64),
             (&self.syncs, status.syncs),
--- a/crates/transport/src/replica/handle.rs
+++ b/crates/transport/src/replica/handle.rs
@@ -69,11 +69,11 @@
     /// Commands refused since the start because too many bytes waited for a quorum or
     /// were retained.
     pub(crate) refused_full: u64,
-    /// Commands and queries that reached the replica's thread since the start.
-    pub(crate) requests: u64,
-    /// Total time that they had waited for it, in microseconds.
-    pub(crate) wait_micros: u64,
-    /// Those that had waited for longer than their senders wait for a response.
+    /// Commands and queries that got a result since the start.
+    pub(crate) answered: u64,
+    /// Total time from their arrival to the result, in microseconds.
+    pub(crate) answer_micros: u64,
+    /// Those that took longer than their senders wait for a response.
     pub(crate) overdue: u64,
     /// Commands and queries without a result.
     pub(crate) unanswered: usize,
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -34,14 +34,14 @@
 /// Maximum number of queued jobs handled before one sync.
 const MAX_BATCH: usize = 512;
 
-/// Time that a command may wait for the thread without a line in the log.
-const USUAL_WAIT: Duration = Duration::from_millis(200);
+/// Time to the result of a command above which the log says so.
+const USUAL_TIME: Duration = Duration::from_millis(200);
 
 /// Time after which the sender of a command gives up; that of [`crate::leaders::Settings`].
 const SENDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Shortest interval between two lines in the log on commands that waited.
-const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval between two lines in the log on a slow journal.
+const SLOW_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of commands refused for lack of room for each line in the log.
 const REFUSALS_PER_LOG_LINE: u64 = 1_000;
@@ -73,6 +73,12 @@
     Ok(Handle { jobs, status })
 }
 
+/// Who waits for the result of a command or query.
+struct Waiter {
+    arrived_at: Instant,
+    reply: oneshot::Sender<Outcome>,
+}
+
 /// State of a replica's thread.
 struct Worker {
     group: u32,
@@ -95,8 +101,8 @@
     /// Instance of each replica that sent a message; used for replicas that are not members.
     instances: Map<Id, String>,
     last_token: u64,
-    /// Reply channels of submitted commands and queries, by token.
-    pending: Map<u64, oneshot::Sender<Outcome>>,
+    /// Submitted commands and queries without a result, by token.
+    pending: Map<u64, Waiter>,
     /// Submitted queries, by token.
     queries: Map<u64, Vec<u8>>,
     /// Confirmed reads that wait until the log is applied up to an index, as (token, index).
@@ -104,8 +110,8 @@
     /// Replacements in progress, by the id of the joining replica.
     replacements: Map<Id, Replacement>,
     applied: u64,
-    /// Time of the last line in the log on commands that waited.
-    wait_logged_at: Option<Instant>,
+    /// Time of the last line in the log on a slow journal.
+    slow_logged_at: Option<Instant>,
     status: Status,
     status_sender: watch::Sender<Status>,
 }
@@ -143,7 +149,7 @@
             waiting_reads: Vec::new(),
             replacements: Map::default(),
             applied,
-            wait_logged_at: None,
+            slow_logged_at: None,
             status: Status::default(),
             status_sender,
         }
@@ -183,22 +189,20 @@
                 }
             }
             Job::Submit { command, arrived_at, reply } => {
-                self.record_wait(arrived_at);
                 if self.replica.is_leader() && !self.state_machine.has_room(&command) {
                     return self.refuse(Refusal::Full, reply);
                 }
                 let token = self.next_token();
                 match self.replica.propose(now, token, command) {
-                    Ok(()) => drop(self.pending.insert(token, reply)),
+                    Ok(()) => drop(self.pending.insert(token, Waiter { arrived_at, reply })),
                     Err(refusal) => self.refuse(refusal, reply),
                 }
             }
             Job::Query { query, arrived_at, reply } => {
-                self.record_wait(arrived_at);
                 let token = self.next_token();
                 match self.replica.read(now, token) {
                     Ok(()) => {
-                        self.pending.insert(token, reply);
+                        self.pending.insert(token, Waiter { arrived_at, reply });
                         self.queries.insert(token, query);
                     }
                     Err(_) => drop(reply.send(Outcome::NotLeader(self.leader_instance()))),
@@ -218,24 +222,24 @@
         }
     }
 
-    /// Records how long a command or query has waited for the thread.
-    fn record_wait(&mut self, arrived_at: Instant) {
-        let waited = arrived_at.elapsed();
-        self.status.requests += 1;
-        self.status.wait_micros += u64::try_from(waited.as_micros()).unwrap_or(0);
-        self.status.overdue += u64::from(waited >= SENDER_TIMEOUT);
-        let is_due = self.wait_logged_at.is_none_or(|at| at.elapsed() >= WAIT_LOG_INTERVAL);
-        if waited > USUAL_WAIT && is_due {
-            self.wait_logged_at = Some(Instant::now());
+    /// Records the time from the arrival of a command or query to its result.
+    fn record_time(&mut self, arrived_at: Instant) {
+        let time = arrived_at.elapsed();
+        self.status.answered += 1;
+        self.status.answer_micros += u64::try_from(time.as_micros()).unwrap_or(0);
+        self.status.overdue += u64::from(time >= SENDER_TIMEOUT);
+        let is_due = self.slow_logged_at.is_none_or(|at| at.elapsed() >= SLOW_LOG_INTERVAL);
+        if time > USUAL_TIME && is_due {
+            self.slow_logged_at = Some(Instant::now());
             tracing::warn!(
                 group = self.group,
-                waited_ms = millis(waited),
+                ms = millis(time),
                 unanswered = self.pending.len(),
                 uncommitted = self.replica.last_index() - self.replica.commit(),
                 overdue = self.status.overdue,
-                requests = self.status.requests,
+                answered = self.status.answered,
                 is_leader = self.replica.is_leader(),
-                "commands wait long for the journal"
+                "the journal is slow"
             );
         }
     }
@@ -440,7 +444,8 @@
     }
 
     fn reply(&mut self, token: u64, outcome: Outcome) {
-        if let Some(reply) = self.pending.remove(&token) {
+        if let Some(Waiter { arrived_at, reply }) = self.pending.remove(&token) {
+            self.record_time(arrived_at);
             // Sending fails if the requester timed out.
             drop(reply.send(outcome));
         }
