--- a/crates/coordination/tests/consensus.rs
+++ b/crates/coordination/tests/consensus.rs
@@ -437,3 +437,22 @@
     let starts = offsets.iter().filter(|offset| **offset == 0).count();
     assert!(starts <= 2, "chunk offsets {offsets:?}");
 }
+
+#[test]
+fn each_command_is_sent_to_each_replica_in_a_message_of_its_own() {
+    let mut replicas = [1, 2, 3, 4, 5].map(|id| replica(id, &[1, 2, 3, 4, 5]));
+    elect(&mut replicas, 0);
+    for token in 0..100 {
+        replicas[0].propose(2_000, token, vec![7; 200]).unwrap();
+    }
+    let messages = persist_ready(&mut replicas[0]).messages;
+    let counts: Vec<usize> = messages.iter().map(|(_, message)| entry_count(message)).collect();
+    assert_eq!(counts, [100; 4], "entries of each message");
+}
+
+fn entry_count(message: &Message) -> usize {
+    match message {
+        Message::Append { entries, .. } => entries.len(),
+        _ => 0,
+    }
+}
