--- a/crates/coordination/src/memory.rs
+++ b/crates/coordination/src/memory.rs
@@ -4,8 +4,13 @@
 //! upload that has fallen behind an ordinary rate for the longest time gives way; if none has, the
 //! newcomer is refused. An upload that is sent at an ordinary rate is never the one that gives way.
 //!
+//! What a response makes an instance hold is bounded by what is left free: each may hold as much as
+//! all others still can. Ordinary responses hold little, so one that asks for more than its share is
+//! given up whoever asked first, and room is left for the next ones.
+//!
 //! Load pattern: clients that keep to no limit open many uploads at once, send most of each, and
-//! then stand still or go on byte by byte, while ordinary callers send theirs.
+//! then stand still or go on byte by byte, while ordinary callers send theirs; and faulty backend
+//! servers that send responses without end to many requests at once.
 
 use crate::Millis;
 
@@ -21,6 +26,24 @@
 /// below the size that is counted, and what the allocator keeps.
 const WORKING_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Size up to which what a response holds is not counted, in bytes: more than the events of an ordinary
+/// turn, so that these never depend on what others hold.
+const ORDINARY_RESPONSE_BYTES: usize = 16 * 1024;
+
+/// Returns how many bytes have to be granted to a response that holds `bytes` in `copies` copies.
+pub fn counted(bytes: usize, copies: usize) -> usize {
+    bytes.saturating_sub(ORDINARY_RESPONSE_BYTES).saturating_mul(copies)
+}
+
+/// Whether a response that was granted `own` bytes may be granted `wanted`, if all together hold
+/// `held` of `limit` bytes. As much as it gets has to stay free (A. K. Choudhury and E. L. Hahne,
+/// "Dynamic Queue Length Thresholds for Shared-Memory Packet Switches", 1998): `n` responses without
+/// end get one part in `n + 1` each.
+pub fn may_grow(limit: usize, held: usize, own: usize, wanted: usize) -> bool {
+    let others = held.saturating_sub(own);
+    wanted <= limit.saturating_sub(others).saturating_sub(wanted)
+}
+
 /// Returns how much of `machine` bytes a process gives out if it holds `at_rest` bytes for itself.
 /// `percent` of what is free is given out; the rest is for copies in progress.
 pub fn budget(machine: u64, at_rest: u64, percent: u64) -> u64 {
--- a/crates/coordination/tests/memory.rs
+++ b/crates/coordination/tests/memory.rs
@@ -51,3 +51,33 @@
     let uploads = BTreeMap::from([(4, Pace::new(0)), (5, Pace::new(0))]);
     assert_eq!(memory::choose(10_000, &uploads), Some(4));
 }
+
+#[test]
+fn endless_responses_leave_room_for_ordinary_ones() {
+    const LIMIT: usize = 20 * 1024 * 1024;
+    const PART: usize = 16 * 1024;
+    for count in [1, 4, 50] {
+        let mut granted = vec![0; count];
+        let mut has_grown = true;
+        while std::mem::take(&mut has_grown) {
+            for index in 0..count {
+                let (held, own) = (granted.iter().sum(), granted[index]);
+                if memory::may_grow(LIMIT, held, own, own + PART) {
+                    granted[index] += PART;
+                    has_grown = true;
+                }
+            }
+        }
+        let held: usize = granted.iter().sum();
+        assert!(LIMIT - held >= LIMIT / (count + 1), "{count}: {held} of {LIMIT} held");
+        assert!(memory::may_grow(LIMIT, held, 0, PART), "{count}: no room for another response");
+        assert!(granted.iter().all(|own| *own > PART), "{count}: {granted:?}");
+    }
+}
+
+#[test]
+fn ordinary_response_depends_on_nothing_that_others_hold() {
+    let ordinary = memory::counted(12 * 1024, 3);
+    assert!(memory::may_grow(0, 0, 0, ordinary));
+    assert!(!memory::may_grow(0, 0, 0, memory::counted(64 * 1024, 3)));
+}
--- a/crates/transport/src/gateway/events.rs
+++ b/crates/transport/src/gateway/events.rs
@@ -84,6 +84,11 @@
         Ok(())
     }
 
+    /// Number of bytes that the parser holds.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.line.len() + self.data.as_ref().map_or(0, Vec::len) + self.content.len()
+    }
+
     /// Whether the bytes so far end within an event or a line.
     pub(crate) fn is_inside_event(&self) -> bool {
         self.has_field || !self.line.is_empty()
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -13,7 +13,9 @@
 use crate::gateway::stories::Record;
 use crate::gateway::turns::Turn;
 use crate::journal::Unreachable;
+use crate::memory::{Grant, Kind};
 use bytes::Bytes;
+use coordination::memory;
 use coordination::placement::Outcome;
 use http::HeaderMap;
 use http_body::{Body as _, Frame, SizeHint};
@@ -27,6 +29,10 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
+/// Number of copies of a turn's events that exist at the same time while it is recorded: the record,
+/// its command and the message to the journal.
+const RECORD_COPIES: usize = 3;
+
 /// Reason why a request ends without a complete response. The caller sees a closed
 /// connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -130,6 +136,8 @@
     is_length_relayed: bool,
     is_event_stream: bool,
     pub(crate) events: Option<Parser>,
+    /// Memory that the events take, also while they are recorded.
+    grant: Grant,
     pub(crate) tokens_per_event: u64,
     pub(crate) turn: Option<Turn>,
     pub(crate) draft: Option<Draft>,
@@ -171,7 +179,9 @@
 impl Relay {
     pub(crate) fn new(params: Params) -> Self {
         let server = params.attempt.server.id.clone();
+        let grant = params.progress.entry.member.budget.grant(Kind::Response);
         Self {
+            grant,
             progress: params.progress,
             status: params.status,
             framing: Framing::of(&params.body, &params.headers),
@@ -260,6 +270,9 @@
         if let Some(events) = &mut self.events {
             let count_before = events.count;
             events.feed(data).map_err(|excess| excess.to_string())?;
+            let copies = if self.draft.is_some() { RECORD_COPIES } else { 1 };
+            let counted = memory::counted(events.held_bytes(), copies);
+            self.grant.grow_response(counted).map_err(|full| full.to_string())?;
             if events.count > count_before {
                 let now = Instant::now();
                 let (first_count, first_at) =
@@ -297,10 +310,9 @@
             return Poll::Ready(None);
         };
         self.release_connection();
-        let mut content = draft.input.to_vec();
-        if let Some(events) = &self.events {
-            content.extend_from_slice(&events.content);
-        }
+        let events = self.events.as_mut().map(|events| std::mem::take(&mut events.content));
+        let content = [draft.input.as_ref(), events.as_deref().unwrap_or_default()].concat();
+        drop(events);
         let retention_ms = millis(draft.retention);
         let record = TurnRecord { previous: draft.previous, content, retention_ms };
         let remaining = self.deadline.saturating_duration_since(Instant::now());
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -118,7 +118,7 @@
     ) -> Result<(), Unreachable> {
         let end = self.end(Some(record));
         self.is_open = false;
-        let recorded = submit(&self.member, &end, timeout).await;
+        let recorded = submit(&self.member, end, timeout).await;
         if recorded.is_err() {
             // The reservation must still be replaced by the tokens used; see `drop`.
             self.is_open = self.program.is_some();
@@ -146,7 +146,7 @@
         }
         let (member, end, id) = (self.member.clone(), self.end(None), self.id.clone());
         tokio::spawn(async move {
-            if submit(&member, &end, END_TIMEOUT).await.is_err() {
+            if submit(&member, end, END_TIMEOUT).await.is_err() {
                 tracing::warn!(
                     request = id,
                     "end of a turn was not recorded; its full reservation stays charged"
@@ -156,9 +156,11 @@
     }
 }
 
-async fn submit(member: &Member, command: &Command, timeout: Duration) -> Result<(), Unreachable> {
-    let command = machine::encode(command).map_err(|_| Unreachable)?;
-    let request = Request::Submit { group: PROGRAMS, command };
+/// Submits a command, whose content is not held while the journal is awaited.
+async fn submit(member: &Member, command: Command, timeout: Duration) -> Result<(), Unreachable> {
+    let encoded = machine::encode(&command).map_err(|_| Unreachable)?;
+    drop(command);
+    let request = Request::Submit { group: PROGRAMS, command: encoded };
     match member.leaders.route(PROGRAMS, &request, timeout).await? {
         Response::Data(_) => Ok(()),
         _ => Err(Unreachable),
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -31,6 +31,8 @@
     Body,
     /// Messages of other instances that have not arrived in full.
     Message,
+    /// Events of responses.
+    Response,
 }
 
 impl Kind {
@@ -39,6 +41,7 @@
             Self::Connection => "connection",
             Self::Body => "body",
             Self::Message => "message",
+            Self::Response => "response",
         }
     }
 }
@@ -89,7 +92,7 @@
     clock: crate::clock::Clock,
     limit: usize,
     held: AtomicUsize,
-    by_kind: [Gauge; 3],
+    by_kind: [Gauge; 4],
     next: AtomicU64,
     uploads: Mutex<Map<u64, Candidate>>,
     /// Notified when memory is returned.
@@ -106,7 +109,7 @@
             clock: crate::clock::Clock::new(),
             limit: usize::try_from(limit).unwrap_or(usize::MAX),
             held: AtomicUsize::new(0),
-            by_kind: [Kind::Connection, Kind::Body, Kind::Message].map(gauge),
+            by_kind: [Kind::Connection, Kind::Body, Kind::Message, Kind::Response].map(gauge),
             next: AtomicU64::new(0),
             uploads: Mutex::default(),
             returned: Notify::new(),
@@ -190,6 +193,20 @@
         Ok(())
     }
 
+    /// Grows the grant to what a response holds, unless that is more than its share.
+    pub(crate) fn grow_response(&mut self, wanted: usize) -> Result<(), Full> {
+        if wanted <= self.bytes {
+            return Ok(());
+        }
+        let budget = &self.budget;
+        let held = budget.held.load(Ordering::Relaxed);
+        if !memory::may_grow(budget.limit, held, self.bytes, wanted) {
+            budget.metrics.give_up("response over its share");
+            return Err(Full);
+        }
+        self.try_resize(wanted)
+    }
+
     /// As [`Grant::try_resize`], but uploads that have fallen behind give way to the growth.
     pub(crate) async fn resize(&mut self, bytes: usize) -> Result<(), Full> {
         if self.try_resize(bytes).is_ok() {
