--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! clock and network.
 
 pub mod authority;
+pub mod backlog;
 pub mod consensus;
 pub mod content;
 pub mod crossing;
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
 
 mod authority;
+mod backlog;
 mod catching_up;
 mod consensus;
 mod crossing;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// What a command is to the work that it belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// Begins new work.
+    Begin,
+    /// Continues work under way, whose earlier steps would be wasted without it.
+    Continue,
+    /// Ends a step that has been carried out.
+    End,
+}
+
 /// Deterministic state machine that applies committed commands.
 ///
 /// Implementations must return the same replies for the same sequence of commands; the only
@@ -75,6 +86,12 @@
         true
     }
 
+    /// Class of the command `data`, which may be refused while the journal is behind; `None` if it is
+    /// never refused for that. Only the leader asks, as with [`StateMachine::has_room`].
+    fn class(&self, _data: &[u8]) -> Option<Class> {
+        None
+    }
+
     /// Answers the encoded query `data` from the applied state.
     ///
     /// # Errors
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -6,7 +6,7 @@
 use crate::collections::{Map, Set};
 use crate::error::Storage;
 use crate::history::{Locator, Position, Store};
-use crate::machine::{self, Export, Import, StateMachine};
+use crate::machine::{self, Class, Export, Import, StateMachine};
 use crate::turn::command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation};
 use crate::turn::stream::{Assignment, Origin, Start, Streams};
 use crate::turn::transfer::{Exporter, Importer};
@@ -341,6 +341,16 @@
             || !matches!(machine::decode(data), Ok(Command::Begin(begin)) if begin.retention_ms > 0)
     }
 
+    fn class(&self, data: &[u8]) -> Option<Class> {
+        let Ok(Command::Begin(begin)) = machine::decode(data) else {
+            return Some(Class::End);
+        };
+        let program = begin.reservation.as_ref().map(|reservation| &reservation.program);
+        let is_known = program.is_some_and(|program| self.programs.contains_key(program));
+        let continues = begin.previous.is_some() || is_known;
+        Some(if continues { Class::Continue } else { Class::Begin })
+    }
+
     fn query(&self, data: &[u8]) -> Result<Vec<u8>, Storage> {
         let Query::Chain(id) = machine::decode(data)?;
         machine::encode(&self.chain(&id)?.map(ByteBuf::from))
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -2,7 +2,7 @@
 
 use crate::util;
 use state::history::{Files, Memory};
-use state::machine::StateMachine;
+use state::machine::{Class, StateMachine};
 use state::turn::{
     Assign, Assignment, Begin, Command, End, Origin, Record, Reply, Reservation, Start, Turns,
 };
@@ -337,3 +337,18 @@
     let late = begin_stream("c", Some("a"), &[], 24_100);
     assert_eq!(other.execute(late).unwrap(), Reply::UnknownStream);
 }
+
+#[test]
+fn programs_under_way_and_ends_are_told_from_new_work() {
+    let mut turns = turns();
+    let class = |turns: &Turns, command: &Command| {
+        turns.class(&state::machine::encode(command).unwrap()).unwrap()
+    };
+    assert_eq!(class(&turns, &begin("a", 1, 1)), Class::Begin);
+    turns.execute(begin("a", 1, 1)).unwrap();
+    assert_eq!(class(&turns, &begin("b", 1, 2)), Class::Continue, "of a known program");
+    let previous = Some("a".into());
+    let later = Command::Begin(Begin { turn: "c".into(), previous, ..Begin::default() });
+    assert_eq!(class(&turns, &later), Class::Continue, "of a later turn");
+    assert_eq!(class(&turns, &end("a", 1, 3)), Class::End);
+}
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -417,12 +417,17 @@
         let is_isolated = self.entry.is_isolated();
         let timeout = if is_isolated { remaining.min(ISOLATED_TIMEOUT) } else { remaining };
         let (turn, admission) = Turn::begin(&self.entry.member, begin, timeout).await;
-        self.entry.is_journal_unreachable.store(admission.is_err(), Ordering::Relaxed);
+        let is_unreachable = matches!(admission, Err(_) | Ok(Admission::Refused));
+        self.entry.is_journal_unreachable.store(is_unreachable, Ordering::Relaxed);
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
         match admission {
             Ok(Admission::Open { prior, holder, stream }) => {
                 Ok(Begun { turn: Some(turn), prior, holder, stream })
             }
+            Ok(Admission::Refused) => {
+                let detail = "the journal is behind, or has no leader";
+                Err(Refusal::retryable(Kind::Unavailable, JOURNAL_RETRY_AFTER, detail).into())
+            }
             Ok(Admission::UnknownStream) => {
                 Err(self.refuse_resumption("unknown", "the origin of the stream is not known"))
             }
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -31,6 +31,8 @@
         /// Origin of the turn's stream; `None` if it has none yet or needs none.
         stream: Option<Assignment>,
     },
+    /// The journal refused the turn, which has not begun.
+    Refused,
     /// The program's remaining budget is smaller than the turn's limit.
     Exhausted {
         /// Tokens remaining in the budget.
@@ -64,7 +66,7 @@
     ) -> (Self, Result<Admission, Unreachable>) {
         begin.now_ms = clock::unix_ms();
         let program = begin.reservation.as_ref().map(|reservation| reservation.program.clone());
-        let turn = Self {
+        let mut turn = Self {
             member: member.clone(),
             id: begin.turn.clone(),
             is_open: program.is_some(),
@@ -74,6 +76,8 @@
         };
         let previous = begin.previous.clone();
         let admission = submit_begin(member, &Command::Begin(begin), previous, timeout).await;
+        // A turn that has certainly not begun needs no end.
+        turn.is_open &= !matches!(admission, Ok(Admission::Refused));
         (turn, admission)
     }
 
@@ -187,6 +191,7 @@
     let (reply, chain) = match member.leaders.route(group, &request, timeout).await? {
         Response::Data(reply) => (reply, None),
         Response::SubmitThenQuery(reply, view) => (reply, Some(view)),
+        Response::NotLeader(_) => return Ok(Admission::Refused),
         _ => return Err(Unreachable),
     };
     let chain: Option<ByteBuf> = match chain {
--- a/crates/transport/src/leaders.rs
+++ b/crates/transport/src/leaders.rs
@@ -4,6 +4,7 @@
 //! turn until one of them answers or names the leader.
 
 use crate::journal::Unreachable;
+use coordination::backlog;
 use protocol::wire::{Request, Response};
 use state::collections::Map;
 use std::future::Future;
@@ -11,6 +12,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Number of refusals after which other replicas are asked for the leader: one that is cut off from
+/// them may be the last to learn that it no longer leads.
+const REFUSALS_PER_SEARCH: u32 = 3;
+
 /// Pending response to a request.
 pub(crate) type ResponseFuture<'a> =
     Pin<Box<dyn Future<Output = Result<Response, Unreachable>> + Send + 'a>>;
@@ -39,7 +44,10 @@
     /// The timeout covers the several disk syncs that a response may take; the pause is a
     /// fraction of the time that an election takes.
     fn default() -> Self {
-        Self { call_timeout: Duration::from_millis(1_000), retry_pause: Duration::from_millis(30) }
+        Self {
+            call_timeout: Duration::from_millis(backlog::SENDER_TIMEOUT_MS),
+            retry_pause: Duration::from_millis(30),
+        }
     }
 }
 
@@ -81,7 +89,8 @@
     }
 
     /// Sends a request to the leader of a group, and repeats it until a leader answers or
-    /// `timeout` has elapsed.
+    /// `timeout` has elapsed. Returns [`Response::NotLeader`] if it was refused each time, and is
+    /// not executed.
     ///
     /// # Errors
     ///
@@ -94,6 +103,8 @@
         timeout: Duration,
     ) -> Result<Response, Unreachable> {
         let start = Instant::now();
+        let mut refusals = 0;
+        let mut may_be_executed = false;
         while let Some(remaining) = timeout.checked_sub(start.elapsed()).filter(|t| !t.is_zero()) {
             let Some(target) = self.target(group) else {
                 tokio::time::sleep(self.settings.retry_pause.min(remaining)).await;
@@ -104,6 +115,15 @@
                 .call(&target, request, self.settings.call_timeout.min(remaining))
                 .await
             {
+                Ok(Response::NotLeader(Some(hint))) if hint == target => {
+                    // The leader is behind and refuses commands for a while.
+                    refusals += 1;
+                    if refusals % REFUSALS_PER_SEARCH == 0 {
+                        self.set_leader(group, None);
+                    }
+                    let pause = backlog::pause(refusals, &mut rand::rng());
+                    tokio::time::sleep(pause.min(remaining)).await;
+                }
                 Ok(Response::NotLeader(hint)) => {
                     let is_new = hint.as_deref().is_some_and(|hint| hint != target);
                     self.set_leader(group, hint.filter(|_| is_new));
@@ -112,6 +132,7 @@
                     }
                 }
                 Ok(Response::Unknown) | Err(Unreachable) => {
+                    may_be_executed = true;
                     self.set_leader(group, None);
                     tokio::time::sleep(self.settings.retry_pause).await;
                 }
@@ -121,7 +142,7 @@
                 }
             }
         }
-        Err(Unreachable)
+        if may_be_executed { Err(Unreachable) } else { Ok(Response::NotLeader(None)) }
     }
 
     /// Returns the known leader, or the next replica in turn; `None` if no replica is known.
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -8,6 +8,7 @@
 use crate::replica::{Handle, Job, MessageSender, Outcome, Status};
 use crate::storage::{Group, Identity};
 use coordination::Millis;
+use coordination::backlog::{self, Tolerance};
 use coordination::consensus::{
     Chunk, ChunkRequest, Entry, Id, Message, Meta, Payload, Ready, Refusal, Replacement, Replica,
     Settings,
@@ -17,7 +18,8 @@
 use state::collections::Map;
 use state::error::Storage;
 use state::journal::{Log, Record};
-use state::machine::{self, Export, Import, StateMachine};
+use state::machine::{self, Class, Export, Import, StateMachine};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::{Duration, Instant};
@@ -37,8 +39,8 @@
 /// Time to the result of a command above which the log says so.
 const USUAL_TIME: Duration = Duration::from_millis(200);
 
-/// Time after which the sender of a command gives up; that of [`crate::leaders::Settings`].
-const SENDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after which the sender of a command gives up.
+const SENDER_TIMEOUT: Duration = Duration::from_millis(backlog::SENDER_TIMEOUT_MS);
 
 /// Shortest interval between two lines in the log on a slow journal.
 const SLOW_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -102,7 +104,7 @@
     instances: Map<Id, String>,
     last_token: u64,
     /// Submitted commands and queries without a result, by token.
-    pending: Map<u64, Waiter>,
+    pending: BTreeMap<u64, Waiter>,
     /// Submitted queries, by token.
     queries: Map<u64, Vec<u8>>,
     /// Confirmed reads that wait until the log is applied up to an index, as (token, index).
@@ -110,6 +112,8 @@
     /// Replacements in progress, by the id of the joining replica.
     replacements: Map<Id, Replacement>,
     applied: u64,
+    /// How far the journal may be behind.
+    tolerance: Tolerance,
     /// Time of the last line in the log on a slow journal.
     slow_logged_at: Option<Instant>,
     status: Status,
@@ -144,11 +148,12 @@
             rewritten_bytes: 0,
             instances: Map::default(),
             last_token: 0,
-            pending: Map::default(),
+            pending: BTreeMap::new(),
             queries: Map::default(),
             waiting_reads: Vec::new(),
             replacements: Map::default(),
             applied,
+            tolerance: Tolerance::default(),
             slow_logged_at: None,
             status: Status::default(),
             status_sender,
@@ -189,7 +194,7 @@
                 }
             }
             Job::Submit { command, arrived_at, reply } => {
-                if self.replica.is_leader() && !self.state_machine.has_room(&command) {
+                if self.replica.is_leader() && !self.accepts(&command) {
                     return self.refuse(Refusal::Full, reply);
                 }
                 let token = self.next_token();
@@ -222,6 +227,19 @@
         }
     }
 
+    /// Whether the leader accepts a command: the state has room for it, and the journal is not too far
+    /// behind for its class.
+    fn accepts(&self, command: &[u8]) -> bool {
+        let oldest = self.pending.first_key_value().map(|(_, waiter)| waiter.arrived_at);
+        let waited = oldest.map_or(0, |arrived_at| millis(arrived_at.elapsed()));
+        let exceeds = |class| waited > self.tolerance.limit(class);
+        // No class is refused earlier than new work, and most commands need not be decoded.
+        if exceeds(Class::Begin) && self.state_machine.class(command).is_some_and(exceeds) {
+            return false;
+        }
+        self.state_machine.has_room(command)
+    }
+
     /// Records the time from the arrival of a command or query to its result.
     fn record_time(&mut self, arrived_at: Instant) {
         let time = arrived_at.elapsed();
@@ -252,7 +270,7 @@
                     group = self.group,
                     waiting = self.replica.last_index() - self.replica.commit(),
                     refused = self.status.refused_full,
-                    "command refused: too many bytes wait for a quorum or are retained"
+                    "command refused: the journal is behind, or too many bytes wait for a quorum or are retained"
                 );
             }
             self.status.refused_full += 1;
@@ -412,8 +430,10 @@
     fn persist(&mut self, records: &[Record]) -> Result<(), Storage> {
         let before = (Instant::now(), self.log.bytes());
         self.log.append(records)?;
+        let time = before.0.elapsed();
+        self.tolerance.observe_sync(time);
         self.status.syncs += 1;
-        self.status.sync_micros += u64::try_from(before.0.elapsed().as_micros()).unwrap_or(0);
+        self.status.sync_micros += u64::try_from(time.as_micros()).unwrap_or(0);
         self.status.bytes_written += self.log.bytes().saturating_sub(before.1);
         Ok(())
     }
