--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -4,11 +4,14 @@
 
 use crate::bounded::{self, LINE_BYTES, REPORT_BYTES, RESPONSE_BYTES};
 use crate::clock::Clock;
+use crate::memory::{Budget, Grant, Kind};
 use coordination::entry::{Dispatch, Event, Failure, Input, Load, Lookup};
+use coordination::memory;
 use futures_util::StreamExt;
 use protocol::backend::{self, Chunk, Completion, Outcome, Position, Report};
 use state::budget::Amount;
 use state::control::Role;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -32,11 +35,13 @@
     /// refusal that a server writes once more would be taken for the answer to the next call.
     pub(crate) calls: reqwest::Client,
     pub(crate) clock: Clock,
+    /// Memory for responses.
+    pub(crate) budget: Arc<Budget>,
 }
 
 /// Received part of a stream.
-#[derive(Default)]
 struct Received {
+    grant: Grant,
     text: String,
     /// Number of tokens in `text`.
     tokens: u64,
@@ -57,6 +62,11 @@
 }
 
 impl Client {
+    /// Returns a grant of no bytes for a response.
+    pub(crate) fn grant(&self) -> Grant {
+        self.budget.grant(Kind::Response)
+    }
+
     /// Executes a dispatch and sends its events to `inputs`.
     pub(crate) async fn run(self, dispatch: Dispatch, inputs: mpsc::Sender<Input>) {
         let event = match dispatch.role {
@@ -81,7 +91,7 @@
         if self.clock.now() >= dispatch.send_before {
             return Event::Failed(Failure::NotSent);
         }
-        let mut received = Received::default();
+        let mut received = Received::new(self.grant());
         let mut response = match request.send().await {
             Ok(response) => response,
             Err(error) if error.is_connect() => return Event::Failed(Failure::NotSent),
@@ -138,7 +148,7 @@
         if !response.status().is_success() {
             return Event::Failed(status_failure(response.status().as_u16()));
         }
-        match bounded::collect(response, RESPONSE_BYTES).await {
+        match bounded::collect(response, RESPONSE_BYTES, &mut self.grant()).await {
             Ok(answer) => Event::Finished { answer, spent: Amount::default(), cached_tokens: 0 },
             Err(error) => {
                 tracing::warn!(attempt = %dispatch.attempt, address = dispatch.address, %error, "answer lost");
@@ -155,7 +165,10 @@
             let query = backend::Query { key: lookup.attempt.call.to_string() };
             let request = self.http.post(&url).json(&query).timeout(SHORT_TIMEOUT);
             let outcome = match request.send().await {
-                Ok(response) => bounded::json::<Outcome>(response, RESPONSE_BYTES).await.ok(),
+                Ok(response) => {
+                    let mut grant = self.grant();
+                    bounded::json::<Outcome>(response, RESPONSE_BYTES, &mut grant).await.ok()
+                }
                 Err(_) => None,
             };
             if let Some(Outcome { answer: Some(answer) }) = outcome {
@@ -178,7 +191,8 @@
     pub(crate) async fn fetch_load(&self, address: &str) -> Option<Load> {
         let url = format!("http://{address}{}", backend::LOAD);
         let response = self.http.get(url).timeout(SHORT_TIMEOUT).send().await.ok()?;
-        Some(bounded::json::<Report>(response, REPORT_BYTES).await.ok()?.load)
+        let mut grant = self.grant();
+        Some(bounded::json::<Report>(response, REPORT_BYTES, &mut grant).await.ok()?.load)
     }
 
     /// Releases a program's memory on an engine; returns whether the engine acknowledged it.
@@ -191,6 +205,11 @@
 }
 
 impl Received {
+    fn new(grant: Grant) -> Self {
+        let (text, buffer) = (String::new(), Vec::new());
+        Self { grant, text, tokens: 0, incarnation: 0, buffer, bytes: 0 }
+    }
+
     /// Reads events until the stream is complete or interrupted.
     async fn read(
         &mut self,
@@ -200,6 +219,12 @@
     ) -> End {
         let mut stream = response.bytes_stream();
         while let Some(Ok(bytes)) = stream.next().await {
+            let held = self.text.len() + self.buffer.len() + bytes.len();
+            if let Err(error) = self.grant.grow_response(memory::counted(held, 1)) {
+                let (attempt, address) = (&dispatch.attempt, &dispatch.address);
+                tracing::warn!(%attempt, address, %error, "stream given up");
+                return End::Interrupted;
+            }
             self.buffer.extend_from_slice(&bytes);
             self.bytes += bytes.len();
             if self.bytes > RESPONSE_BYTES {
--- a/crates/transport/src/bounded.rs
+++ b/crates/transport/src/bounded.rs
@@ -3,6 +3,8 @@
 //! Whatever goes on beyond the bound occupies the memory and the connection of the instance until
 //! the deadline of a request.
 
+use crate::memory::{Full, Grant};
+use coordination::memory;
 use futures_util::StreamExt;
 use reqwest::Response;
 use serde::de::DeserializeOwned;
@@ -26,17 +28,24 @@
     /// The body is too long.
     #[error("the body has more than {0} bytes")]
     TooLong(usize),
+    /// There is no memory for the body.
+    #[error(transparent)]
+    Full(#[from] Full),
     /// The body is not of the expected type.
     #[error("the body cannot be decoded: {0}")]
     Malformed(#[from] serde_json::Error),
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes, which `grant` allows.
 ///
 /// # Errors
 ///
-/// Returns an error if the connection is lost or the body is longer.
-pub(crate) async fn collect(response: Response, limit: usize) -> Result<Vec<u8>, Error> {
+/// Returns an error if the connection is lost, or the body is longer than allowed.
+pub(crate) async fn collect(
+    response: Response,
+    limit: usize,
+    grant: &mut Grant,
+) -> Result<Vec<u8>, Error> {
     let mut body = Vec::new();
     let mut stream = response.bytes_stream();
     while let Some(bytes) = stream.next().await {
@@ -44,6 +53,7 @@
         if body.len() + bytes.len() > limit {
             return Err(Error::TooLong(limit));
         }
+        grant.grow_response(memory::counted(body.len() + bytes.len(), 1))?;
         body.extend_from_slice(&bytes);
     }
     Ok(body)
@@ -57,6 +67,7 @@
 pub(crate) async fn json<T: DeserializeOwned>(
     response: Response,
     limit: usize,
+    grant: &mut Grant,
 ) -> Result<T, Error> {
-    Ok(serde_json::from_slice(&collect(response, limit).await?)?)
+    Ok(serde_json::from_slice(&collect(response, limit, grant).await?)?)
 }
--- a/crates/transport/src/controller.rs
+++ b/crates/transport/src/controller.rs
@@ -4,6 +4,7 @@
 //! sends orders to engines. Every grant follows a read that a quorum has confirmed, so a leader
 //! that has been replaced without noticing grants nothing.
 
+use crate::backend::Client;
 use crate::bounded::{self, REPORT_BYTES};
 use crate::clock::Clock;
 use crate::replica::{Handle, Outcome};
@@ -59,7 +60,7 @@
     loads_per_second: f64,
     seed: Config,
     control: Handle,
-    client: reqwest::Client,
+    client: Client,
     term: Mutex<Option<Term>>,
 }
 
@@ -68,7 +69,7 @@
         settings: &protocol::settings::Settings,
         clock: Clock,
         control: Handle,
-        client: reqwest::Client,
+        client: Client,
     ) -> Arc<Self> {
         Arc::new(Self {
             clock,
@@ -278,9 +279,11 @@
     /// Returns whether the order is confirmed.
     async fn place_order(&self, address: &str, order: &Order) -> bool {
         let url = format!("http://{address}{}", backend::LOAD);
-        let report = self.client.get(url).timeout(ORDER_TIMEOUT).send().await;
+        let report = self.client.http.get(url).timeout(ORDER_TIMEOUT).send().await;
         if let Ok(response) = report
-            && let Ok(report) = bounded::json::<backend::Report>(response, REPORT_BYTES).await
+            && let mut grant = self.client.grant()
+            && let Ok(report) =
+                bounded::json::<backend::Report>(response, REPORT_BYTES, &mut grant).await
             && report.version == order.version
         {
             return true;
@@ -291,7 +294,7 @@
             return false;
         }
         let url = format!("http://{address}{}", backend::ORDERS);
-        let response = self.client.post(url).json(order).timeout(ORDER_TIMEOUT).send().await;
+        let response = self.client.http.post(url).json(order).timeout(ORDER_TIMEOUT).send().await;
         response.is_ok_and(|response| response.status().is_success())
     }
 
--- a/crates/transport/src/monitor.rs
+++ b/crates/transport/src/monitor.rs
@@ -244,7 +244,7 @@
 
     async fn read_instance_list(&self, url: &str) -> Result<InstanceList, bounded::Error> {
         let response = self.client.http.get(url).timeout(LIST_TIMEOUT).send().await?;
-        bounded::json(response, REPORT_BYTES).await
+        bounded::json(response, REPORT_BYTES, &mut self.client.grant()).await
     }
 }
 
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -12,6 +12,7 @@
 use crate::controller::Controller;
 use crate::inspect::Inspector;
 use crate::journal::Journal;
+use crate::memory::{self, Budget};
 use crate::metrics::Metrics;
 use crate::monitor::Monitor;
 use crate::operators::{self, Operators};
@@ -36,6 +37,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Share of the free memory that is given out for responses, in percent. Answers are copied into
+/// journals.
+const GIVEN_PERCENT: u64 = 50;
+
 /// Interval between two checks for calls in flight while stopping.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -88,13 +93,19 @@
         let (_, peer_server) = transport.serve(&settings.listen.peers).await.map_err(Error::new)?;
         let http = || reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT);
         let calls = http().pool_max_idle_per_host(0).build().map_err(Error::new)?;
-        let client = Client { http: http().build().map_err(Error::new)?, calls, clock };
+        let memory_metrics = memory::Metrics::default();
+        let (machine, at_rest) = (memory::DEFAULT_MACHINE_BYTES, memory::at_rest());
+        let given = coordination::memory::budget(machine, at_rest, GIVEN_PERCENT);
+        let budget = Budget::new(given, memory_metrics.clone());
+        let client = Client { http: http().build().map_err(Error::new)?, calls, clock, budget };
         let journal = Arc::new(Journal::new(
             transport.clone(),
             &settings.replicas(),
             settings.journal.shards,
         ));
-        let metrics = Arc::new(Metrics::new());
+        let mut metrics = Metrics::new();
+        metrics.register(|registry| memory_metrics.register(registry));
+        let metrics = Arc::new(metrics);
         let entry =
             Entry::new(settings.entry.clone(), clock.start_unix_ms(), rand::rng().next_u64());
         let entry = actor::start(entry, journal.clone(), client.clone(), metrics.clone());
@@ -213,8 +224,8 @@
     /// Starts the control loop, if the instance has a replica of the control journal.
     fn start_controller(&self) -> Option<Arc<Controller>> {
         let control = self.groups.get(&CONTROL_GROUP)?.clone();
-        let http = self.client.http.clone();
-        let controller = Controller::new(&self.settings, self.clock, control, http);
+        let client = self.client.clone();
+        let controller = Controller::new(&self.settings, self.clock, control, client);
         drop(self.peer_service.controller.set(controller.clone()));
         tokio::spawn(controller.clone().run());
         Some(controller)
