--- a/review/tools-2/cases.rs
+++ b/review/tools-2/cases.rs
@@ -3,6 +3,8 @@
 use crate::http::Answer;
 use crate::world::{Role, Shared, Turn, World, random};
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -29,6 +31,7 @@
         "crowd-chain" => crowd_chain(folder, trouble),
         "retire" => retire(folder, trouble),
         "room" => room(folder, trouble),
+        "held" => held(folder, trouble),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -363,14 +366,15 @@
     world.turn(front, &Turn { id, program: id, previous, body: &input, is_kept, finish_ms })
 }
 
-/// Pause of an ordinary consumer between two requests of a kind.
-const ORDINARY_PAUSE: Duration = Duration::from_millis(400);
+/// Pauses of ordinary consumers between two requests of each kind, in milliseconds. Programs call
+/// about as many tools as they run turns.
+const ORDINARY_PAUSES: [u64; 3] = [400, 400, 150];
 
 /// Time at which a case of a whole day ends.
 const DAY_END: Duration = Duration::from_secs(110);
 
-/// One consumer sends turns with the largest body, one after the other, until one is refused or 60 are
-/// served. Others send ordinary requests of three kinds all the while, until long after the retention
+/// One consumer sends turns with the largest body, one after the other, until four in a row are
+/// refused, 60 at most. Others send ordinary requests of three kinds all the while, until long after the retention
 /// of the large turns is over.
 fn room(folder: &str, trouble: bool) -> Result<bool, String> {
     let world = World::start(folder, 3)?;
@@ -392,32 +396,26 @@
                         kinds[kind].count(answer.is_success());
                         note(&world, KINDS[kind], &id, &answer);
                     }));
-                    std::thread::sleep(ORDINARY_PAUSE);
+                    std::thread::sleep(Duration::from_millis(ORDINARY_PAUSES[kind]));
                 }
                 requests.into_iter().for_each(|request| request.join().unwrap());
             })
         })
         .collect();
     let bytes = if trouble { MAX_BODY } else { ORDINARY_BODY };
-    for number in 1..=60 {
+    let (mut number, mut refused) = (0, 0);
+    while number < 60 && refused < 4 {
+        number += 1;
         let id = format!("large-{number}-{:x}", random());
-        let input = body(&id, bytes);
-        let turn = Turn {
-            id: &id,
-            program: &id,
-            previous: None,
-            body: &input,
-            is_kept: true,
-            finish_ms: FINISH_MS,
-        };
+        let (input, previous, is_kept) = (body(&id, bytes), None, true);
+        let turn =
+            Turn { id: &id, program: &id, previous, body: &input, is_kept, finish_ms: FINISH_MS };
         let answer = world.turn(&world.fronts()[number % 2], &turn);
         kinds[0].count(answer.is_success());
         note(&world, "large turn", &id, &answer);
-        if !answer.is_success() {
-            world.note(&format!("the consumer of the large turns leaves after {number}"));
-            break;
-        }
+        refused = if answer.is_success() { 0 } else { refused + 1 };
     }
+    world.note(&format!("the consumer of the large turns leaves after {number}"));
     let left = world.elapsed();
     world.note("from here on there are only ordinary requests");
     ordinary.into_iter().for_each(|thread| thread.join().unwrap());
@@ -444,3 +442,74 @@
     }
     Ok(held)
 }
+
+/// Sends an order whose body stops just short of its end, and waits until it is refused.
+fn stall(address: &str, id: &str, bytes: usize) -> std::io::Result<()> {
+    let address = address.parse().map_err(std::io::Error::other)?;
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_write_timeout(Some(Duration::from_millis(500)))?;
+    stream.set_read_timeout(Some(Duration::from_millis(2_900)))?;
+    write!(
+        stream,
+        "POST /order/board HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 3000\r\nContent-Length: {bytes}\r\n\r\n"
+    )?;
+    stream.write_all(&vec![b'z'; bytes - 1])?;
+    let mut answer = [0; 512];
+    stream.read(&mut answer).map(drop)
+}
+
+/// Consumers stop just short of the end of their bodies and stay, while others run turns with the
+/// largest answers of the sheet.
+fn held(folder: &str, trouble: bool) -> Result<bool, String> {
+    let world = World::start(folder, 3)?;
+    world.configure(MAX_BODY)?;
+    std::thread::sleep(Duration::from_secs(4));
+    let end = world.elapsed() + Duration::from_secs(30);
+    let mut threads = Vec::new();
+    for number in (0..900_u64).filter(|_| trouble) {
+        let world = world.clone();
+        threads.push(std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(number * 37 % 2_000));
+            let bytes = match number % 20 {
+                0 => MAX_BODY,
+                1..=9 => 300_000,
+                _ => 24_000,
+            };
+            while world.elapsed() < end {
+                let front = &world.fronts()[usize::from(number / 20 % 2 == 1)];
+                let _ = stall(front, &format!("s{number}-{:x}", random()), bytes);
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }));
+    }
+    let counts: Arc<[AtomicUsize; 3]> = Arc::default();
+    for number in 0..8 {
+        let (world, counts) = (world.clone(), counts.clone());
+        threads.push(std::thread::spawn(move || {
+            while world.elapsed() < end {
+                let id = format!("long{number}-{:x}", random());
+                let (input, previous, is_kept) = (body(&id, ORDINARY_BODY), None, true);
+                let turn = Turn {
+                    id: &id,
+                    program: &id,
+                    previous,
+                    body: &input,
+                    is_kept,
+                    finish_ms: FINISH_MS,
+                };
+                let answer = world.turn(&world.fronts()[number % 2], &turn);
+                note(&world, "turn", &id, &answer);
+                let is_broken_off = answer.status == 200 && world.runs(&id).0 > 0;
+                let kind = if answer.is_success() { 0 } else { 1 + usize::from(!is_broken_off) };
+                counts[kind].fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        }));
+    }
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    let [whole, broken, other] = [0, 1, 2].map(|kind| counts[kind].load(Ordering::SeqCst));
+    world.note(&format!("whole {whole}, run and broken off {broken}, refused {other}"));
+    world.note_peaks();
+    Ok(broken <= 3)
+}
--- a/review/tools-2/runner.rs
+++ b/review/tools-2/runner.rs
@@ -9,8 +9,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Events of a turn's answer, and the pause before each.
+/// Events of a turn's answer; of one with the largest lengths of the sheet; the pause before each.
 pub const EVENTS: usize = 4;
+const LONG_EVENTS: usize = 23;
+const LONG_EVENT_BYTES: usize = 930;
 const EVENT_GAP: Duration = Duration::from_millis(15);
 
 pub struct Runner {
@@ -116,9 +118,11 @@
             writer,
             "HTTP/1.1 200 OK\r\n{stamp}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )?;
-        for number in 1..=EVENTS {
+        let is_long = path.starts_with("/turn/kept/long");
+        for number in 1..=if is_long { LONG_EVENTS } else { EVENTS } {
             std::thread::sleep(EVENT_GAP);
-            let event = format!("id: {number}\ndata: {}\n\n", event(number));
+            let data = if is_long { "y".repeat(LONG_EVENT_BYTES) } else { event(number) };
+            let event = format!("id: {number}\ndata: {data}\n\n");
             write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
         }
         write!(writer, "0\r\n\r\n")
--- a/review/tools-2/world.rs
+++ b/review/tools-2/world.rs
@@ -484,7 +484,10 @@
             ("X-Session-Id", format!("s-{}", turn.program)),
             ("X-Model", "m".to_owned()),
             ("X-Token-Budget", "100000".to_owned()),
-            ("X-Token-Usage", "1460,100".to_owned()),
+            (
+                "X-Token-Usage",
+                format!("1460,{}", if turn.id.starts_with("long") { 600 } else { 100 }),
+            ),
             ("X-Deadline-Ms", "4000".to_owned()),
             ("X-Finish-Ms", turn.finish_ms.to_string()),
         ];
