fix(review): end all processes of a case also when its script is stopped

Cause: a script that got SIGTERM ended alone; the eight processes that its case had started went on. Clean-up also needed a kill program, which a bare machine may lack.

The shell's own kill is used.

--- a/review/tools-2/world.rs
+++ b/review/tools-2/world.rs
@@ -29,6 +29,7 @@
     for id in ids {
         signal(id, "KILL");
     }
+    note_started(&[]);
     std::thread::sleep(Duration::from_millis(100));
     if let Some(folder) = FOLDER.lock().ok().and_then(|mut folder| folder.take())
         && std::env::var_os("KEEP").is_none()
@@ -37,12 +38,24 @@
     }
 }
 
+/// Writes the ids of the processes that may run, for the script that started the case.
+fn note_started(ids: &[u32]) {
+    let lines: String = ids.iter().map(|id| format!("{id}\n")).collect();
+    let _ = std::fs::write(std::env::temp_dir().join("started"), lines);
+}
+
+/// Takes out a process that has ended.
+fn forget(id: u32) {
+    let mut started = STARTED.lock().unwrap();
+    started.retain(|started| *started != id);
+    note_started(&started);
+}
+
 /// Sends a signal to a process that was started here.
 pub fn signal(id: u32, name: &str) {
-    let _ = Command::new("kill")
-        .args([&format!("-{name}"), &id.to_string()])
-        .stderr(Stdio::null())
-        .status();
+    // The shell's own `kill`, which every machine has.
+    let command = format!("kill -{name} {id}");
+    let _ = Command::new("sh").args(["-c", &command]).stderr(Stdio::null()).status();
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -282,6 +295,7 @@
             .spawn()
             .map_err(|e| format!("target/release/buckthornshelf: {e}"))?;
         started.push(child.id());
+        note_started(&started);
         node.child = Some(child);
         node.first_start = false;
         Ok(())
@@ -316,7 +330,7 @@
                 } else {
                     continue;
                 }
-                STARTED.lock().unwrap().retain(|id| *id != child.id());
+                forget(child.id());
                 node.child = None;
                 if let Err(error) = self.launch(node) {
                     self.note(&format!("cannot start {}: {error}", node.name));
@@ -332,7 +346,7 @@
         if let Some(mut child) = node.child.take() {
             let _ = child.kill();
             let _ = child.wait();
-            STARTED.lock().unwrap().retain(|id| *id != child.id());
+            forget(child.id());
         }
     }
 
