feat(gateway): logs tell why an answer ended early

Change: outcome "server silent", detail "the backend server is silent", and the error with its causes in "request ended". No decision changes.

--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether its connection was closed because the server is silent.
+    pub(super) fn has_silent_server(&self) -> bool {
+        self.connection.as_ref().is_some_and(Connection::has_fallen_silent)
+    }
+
     /// Ends the attempt with an outcome.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod connector;
 mod dialect;
 mod entry;
+mod error;
 mod events;
 mod flow;
 mod forward;
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Clock;
 use crate::gateway::connector::{Connector, Direct};
+use crate::gateway::error;
 use crate::gateway::silence::Peer;
 use bytes::Bytes;
 use coordination::Millis;
@@ -225,7 +226,7 @@
             self.sender.try_send_request(request).await.map_err(|mut error| {
                 match error.take_message() {
                     Some(_) => SendError::NotSent,
-                    None => SendError::NoResponse(error.into_error().to_string()),
+                    None => SendError::NoResponse(error::chain(&error.into_error())),
                 }
             })?;
         self.allowance.lift();
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use crate::clock::{self, millis};
 use crate::gateway::attempt::Attempt;
 use crate::gateway::entry::Entry;
+use crate::gateway::error;
 use crate::gateway::events::Parser;
 use crate::gateway::framing::Framing;
 use crate::gateway::stories::Record;
@@ -43,6 +44,9 @@
     /// The backend server closed the connection before the response body was complete.
     #[error("the backend server closed the connection")]
     Server,
+    /// This instance closed the connection to the backend server, because that is silent.
+    #[error("the backend server is silent")]
+    Silence,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     DeadlineExceeded,
@@ -123,6 +127,8 @@
     pub(crate) events: u64,
     /// Whether the body ends within an event.
     pub(crate) is_inside_event: bool,
+    /// Why the body ended early, if the connection failed.
+    pub(crate) error: Option<&'a str>,
 }
 
 /// A response that is being relayed.
@@ -148,6 +154,8 @@
     recording: Option<Recording>,
     /// How the response is about to end early.
     aborting: Option<Abort>,
+    /// Error of the connection to the backend server.
+    error: Option<String>,
     server: String,
     /// Number of bytes of the body so far.
     received: usize,
@@ -199,6 +207,7 @@
             events_between: None,
             recording: None,
             aborting: None,
+            error: None,
             server,
             received: 0,
             has_ended: false,
@@ -250,8 +259,11 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                tracing::debug!(request = self.progress.id, %error, "response body ended early");
-                self.abort_after_flush(Abort::Server, context)
+                self.error = Some(error::chain(&error));
+                let attempt = self.attempt.as_ref();
+                let is_silent = attempt.is_some_and(Attempt::has_silent_server);
+                let abort = if is_silent { Abort::Silence } else { Abort::Server };
+                self.abort_after_flush(abort, context)
             }
             Poll::Ready(None) => self.complete(context),
         }
@@ -357,7 +369,7 @@
     fn abort(&mut self, abort: Abort) -> Abort {
         if let Some(attempt) = self.attempt.take() {
             match abort {
-                Abort::Server => {
+                Abort::Server | Abort::Silence => {
                     let is_before_first_event = self.events.as_ref().is_some_and(|e| e.count == 0);
                     if let Some(loss) = attempt.lose(&self.progress.id, is_before_first_event) {
                         self.progress.entry.report_loss(loss);
@@ -373,6 +385,7 @@
         self.record_end(match abort {
             Abort::Caller => "caller left",
             Abort::Server => "server broke off",
+            Abort::Silence => "server silent",
             Abort::DeadlineExceeded => "time is over",
             Abort::Excess => "server sent too much",
             Abort::NotRecorded => "not recorded",
@@ -392,6 +405,7 @@
             bytes: self.received,
             events: events.map_or(0, |events| events.count),
             is_inside_event: events.is_some_and(Parser::is_inside_event),
+            error: self.error.as_deref(),
         };
         self.progress.record_end(outcome, self.status, Some(&received));
         self.progress.entry.metrics.duration.observe(self.progress.started.elapsed().as_secs_f64());
@@ -435,6 +449,7 @@
             framing = received.map(|received| received.framing.name()),
             bytes = received.map(|received| received.bytes),
             is_inside_event = received.map(|received| received.is_inside_event),
+            error = received.and_then(|received| received.error),
             ms,
             list_age_ms = self.list_age_ms,
             outcome,
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -408,6 +408,10 @@
                     return AttemptResult::Unavailable;
                 }
                 Ok(Err(SendError::NoResponse(detail))) => {
+                    let detail = match attempt.has_silent_server() {
+                        true => "the backend server is silent".to_owned(),
+                        false => detail,
+                    };
                     let loss = attempt.lose(&outbound.metadata.id, outbound.route.is_stream);
                     if let Some(loss) = loss {
                         self.examine(outbound, loss).await;
