--- a/crates/coordination/src/placement/fleet.rs
+++ b/crates/coordination/src/placement/fleet.rs
@@ -101,6 +101,7 @@
                     has_reported_invalid: false,
                     failures: 0,
                     suspended_until: 0,
+                    is_silent: false,
                 },
             };
             servers.insert(server.listed.id.clone(), server);
@@ -312,6 +313,13 @@
         self.servers.values().filter(|server| server.limit.per_second(now).is_some()).count()
     }
 
+    /// Records whether the server `id` is silent. A silent one is sent nothing.
+    pub fn set_silent(&mut self, id: &str, is_silent: bool) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.is_silent = is_silent;
+        }
+    }
+
     /// Records that a request was sent to the server `id`.
     pub fn begin(&mut self, now: Millis, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/coordination/src/placement/server.rs
+++ b/crates/coordination/src/placement/server.rs
@@ -40,6 +40,8 @@
     pub(super) has_reported_invalid: bool,
     pub(super) failures: u32,
     pub(super) suspended_until: Millis,
+    /// Whether it has fallen silent, and what became of it isn't known.
+    pub(super) is_silent: bool,
 }
 
 impl Server {
@@ -60,6 +62,9 @@
 
     /// Whether it may be chosen at `now`.
     pub fn is_available(&self, now: Millis) -> bool {
-        !self.is_leaving() && self.suspended_until <= now && self.limit.permits(now) > 0
+        !self.is_leaving()
+            && !self.is_silent
+            && self.suspended_until <= now
+            && self.limit.permits(now) > 0
     }
 }
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -19,6 +19,11 @@
 //! against it. What shares an end may be learned a little later, so a quarantine is provisional at
 //! first: it may be withdrawn and isn't passed on.
 //!
+//! A server that is silent may have ended or may go on. Until that is known, the content of its
+//! requests is under suspicion, which counts like a crash and is held: it is refused for as long as
+//! the suspicion lasts. Suspicions are renewed by the instance that has them, and lapse without that,
+//! so that a server that goes on leaves no trace.
+//!
 //! Load pattern: one request that crashes servers and comes again and again through all instances,
 //! among many that are lost with it and then succeed elsewhere, some of them equal to each other.
 
@@ -56,6 +61,17 @@
 /// renew it for each other by the time that their messages take.
 const MIN_RELAYED_MS: Millis = 5_000;
 
+/// Time for which a suspicion of another instance holds unless it is renewed, in milliseconds: several
+/// heartbeats to a control instance and from there.
+const SUSPICION_MS: Millis = 1_000;
+
+/// Time by which a suspicion ages each time that it is passed on, in milliseconds. Without it, instances
+/// would renew it for each other by the time that their messages take.
+const RELAY_MS: Millis = 250;
+
+/// Pause after which held content may come again, in milliseconds.
+const HOLD_MS: Millis = 1_000;
+
 /// Age up to which a crash is reported, in milliseconds. It exceeds the time for which all control
 /// instances may be away after a restart.
 const REPORT_MS: Millis = 10_000;
@@ -101,6 +117,23 @@
     pub remaining_ms: Millis,
 }
 
+/// Content of a request that a silent server has.
+#[derive(Debug, Clone)]
+struct Suspicion {
+    /// The crash that it is if the server has ended.
+    crash: Crash,
+    /// Time at which the instance that has the suspicion last renewed it.
+    renewed_at: Millis,
+    /// Whether this instance has it.
+    is_own: bool,
+}
+
+impl Suspicion {
+    fn holds(&self, now: Millis) -> bool {
+        self.is_own || now < self.renewed_at + SUSPICION_MS
+    }
+}
+
 /// What an instance tells another one.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -150,6 +183,9 @@
     /// Weights of the crashes, by digest.
     digests: Map<u64, u32>,
     refused: Map<Content, Refusal>,
+    suspicions: Vec<Suspicion>,
+    /// Content that is refused for as long as the suspicions last.
+    held: Set<Content>,
     /// Number of quarantines that were withdrawn.
     withdrawn: u64,
 }
@@ -223,12 +259,7 @@
 
     /// Decides anew on all content that was lost with `end`.
     fn decide(&mut self, now: Millis, end: u64) {
-        let mut evidence: Map<Content, Evidence> = Map::default();
-        for crash in self.crashes.iter().map(|known| &known.crash) {
-            let against = evidence.entry(crash.content).or_default();
-            against.weight += weight(crash);
-            against.ends.insert(crash.end());
-        }
+        let evidence = evidence(self.crashes.iter().map(|known| &known.crash));
         for (content, against) in evidence.iter().filter(|(_, e)| e.ends.contains(&end)) {
             let is_guilty = is_guilty(content, against, &evidence);
             let refusal = self.refused.get(content);
@@ -242,6 +273,93 @@
         }
     }
 
+    /// Puts the content of requests under suspicion because their server, whose
+    /// [end](Quarantine::end_of) it may be, is silent. Returns the content that is held now.
+    pub fn suspect(&mut self, now: Millis, crashes: Vec<Crash>) -> Vec<Content> {
+        let contents: Set<Content> = crashes.iter().map(|crash| crash.content).collect();
+        for crash in crashes {
+            self.suspicions.retain(|suspicion| suspicion.crash.digest != crash.digest);
+            self.suspicions.push(Suspicion { crash, renewed_at: now, is_own: true });
+        }
+        self.hold();
+        contents.into_iter().filter(|content| self.is_held(content)).collect()
+    }
+
+    /// Ends the suspicions of this instance that concern an end of a server.
+    pub fn clear(&mut self, end: u64) {
+        self.suspicions.retain(|suspicion| !suspicion.is_own || suspicion.crash.end() != end);
+        self.hold();
+    }
+
+    /// Returns the suspicions of this instance, with the time since they were renewed as their age.
+    pub fn own_suspicions(&self, now: Millis) -> Vec<Crash> {
+        self.recent_suspicions(now, |suspicion| suspicion.is_own)
+    }
+
+    /// Returns all suspicions, with the time since they were renewed as their age.
+    pub fn suspicions(&self, now: Millis) -> Vec<Crash> {
+        self.recent_suspicions(now, |_| true)
+    }
+
+    fn recent_suspicions(
+        &self,
+        now: Millis,
+        is_included: impl Fn(&Suspicion) -> bool,
+    ) -> Vec<Crash> {
+        let included = self.suspicions.iter().rev().filter(|s| s.holds(now) && is_included(s));
+        let aged = included.map(|suspicion| {
+            let age_ms = match suspicion.is_own {
+                true => 0,
+                false => now.saturating_sub(suspicion.renewed_at) + RELAY_MS,
+            };
+            Crash { age_ms, ..suspicion.crash.clone() }
+        });
+        aged.take(MAX_REPORTED).collect()
+    }
+
+    /// Adds the suspicions of other instances, and drops those that were not renewed.
+    pub fn extend_suspicions(&mut self, now: Millis, reported: &[Crash]) {
+        if self.suspicions.is_empty() && reported.is_empty() {
+            return;
+        }
+        for crash in reported {
+            let renewed_at = now.saturating_sub(crash.age_ms);
+            let known = self.suspicions.iter_mut().find(|s| s.crash.digest == crash.digest);
+            match known {
+                Some(known) => known.renewed_at = known.renewed_at.max(renewed_at),
+                None => {
+                    let crash = crash.clone();
+                    self.suspicions.push(Suspicion { crash, renewed_at, is_own: false });
+                }
+            }
+        }
+        self.suspicions.retain(|suspicion| suspicion.holds(now));
+        self.hold();
+    }
+
+    /// Decides anew which content is held.
+    fn hold(&mut self) {
+        self.held.clear();
+        if self.suspicions.is_empty() {
+            return;
+        }
+        let suspected = self.suspicions.iter().map(|suspicion| &suspicion.crash);
+        let known = self.crashes.iter().map(|known| &known.crash);
+        // An end may be known to others already.
+        let known = known.filter(|crash| suspected.clone().all(|s| s.digest != crash.digest));
+        let evidence = evidence(known.chain(suspected.clone()));
+        let contents = suspected.map(|crash| crash.content);
+        let held = contents.filter(|content| {
+            evidence.get(content).is_some_and(|against| is_guilty(content, against, &evidence))
+        });
+        self.held = held.collect();
+    }
+
+    /// Whether content is refused for as long as servers that have it are silent.
+    pub fn is_held(&self, content: &Content) -> bool {
+        self.held.contains(content)
+    }
+
     /// Adds what another instance reports; returns the content that is quarantined by that.
     pub fn extend(&mut self, now: Millis, report: &Report) -> Vec<Content> {
         let mut added: Vec<Content> = Vec::new();
@@ -265,14 +383,16 @@
         added
     }
 
-    /// Whether nothing is quarantined.
+    /// Whether nothing is quarantined or held.
     pub fn is_empty(&self) -> bool {
-        self.refused.is_empty()
+        self.refused.is_empty() && self.held.is_empty()
     }
 
-    /// Time until the end of a content's quarantine; `None` if it isn't quarantined.
+    /// Time after which content that is quarantined or held may come again; `None` if it is neither.
     pub fn remaining(&self, now: Millis, content: &Content) -> Option<Millis> {
-        self.refused.get(content)?.until.checked_sub(now).filter(|remaining| *remaining > 0)
+        let refused = self.refused.get(content).and_then(|refusal| refusal.until.checked_sub(now));
+        let held = self.is_held(content).then_some(HOLD_MS);
+        refused.filter(|remaining| *remaining > 0).or(held)
     }
 
     /// What this instance observed, and what it refuses: for the control instances.
@@ -320,6 +440,17 @@
     }
 }
 
+/// Returns what is known against each content.
+fn evidence<'a>(crashes: impl Iterator<Item = &'a Crash>) -> Map<Content, Evidence> {
+    let mut evidence: Map<Content, Evidence> = Map::default();
+    for crash in crashes {
+        let against = evidence.entry(crash.content).or_default();
+        against.weight += weight(crash);
+        against.ends.insert(crash.end());
+    }
+    evidence
+}
+
 /// What a crash weighs against its content.
 fn weight(crash: &Crash) -> u32 {
     if crash.is_before_output { WEIGHT_BEFORE_OUTPUT } else { WEIGHT }
--- a/crates/coordination/src/silence.rs
+++ b/crates/coordination/src/silence.rs
@@ -7,12 +7,19 @@
 //! itself, finds the same of all servers; so the probe is compared with those of other servers, of
 //! the same failure domain first, and counts only if they answer.
 //!
+//! A silent server may go on with everything that it had, or may have ended. Silence alone can't tell
+//! the two apart, so nothing that the server has accepted is given up for it; it only gets nothing
+//! new. What follows is a [`Fate`], which the server itself shows: it goes on if it sends anything on
+//! a connection from before, and has ended if it refuses connections, or answers new ones and has
+//! forgotten what it owed.
+//!
 //! Load pattern: one request that takes down each server that executes it, without a connection being
-//! closed, and comes again through all instances; among slow servers, lost links of single instances
-//! or failure domains, and instances that stand still for seconds.
+//! closed, and comes again through all instances; among slow servers, servers that pause for a second
+//! or two, lost links of single instances or failure domains, and instances that stand still for
+//! seconds.
 
 use crate::Millis;
-use state::collections::Map;
+use state::collections::{Map, Set};
 
 /// Time without a byte from a server that has requests after which it is in doubt, in milliseconds.
 /// Engines under load pause for less between the events of all streams.
@@ -37,8 +44,10 @@
 /// its checks. Servers are in doubt only some time after that.
 const STANDSTILL_MS: Millis = 1_000;
 
-/// Time for which a server that was found silent isn't asked to testify on others, in milliseconds.
-const SILENT_MS: Millis = 10_000;
+/// Number of checks after an answer on a later connection in which a server may show that it still
+/// knows what it owed. They are counted instead of timed, since answers may wait for this process
+/// while it stands still.
+const SETTLING_CHECKS: u32 = 5;
 
 /// A server as the connections show it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,12 +76,77 @@
 pub enum Verdict {
     /// The server lives; it is only slow.
     Lives,
-    /// The server has fallen silent: its requests are lost with it.
+    /// The server has fallen silent. It may go on later.
     Silent,
     /// This instance stood still, or is cut off from more than this server, or none can testify.
     Unclear,
 }
 
+/// What became of a probe that a server owed when it was found silent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Owed {
+    /// There is none: its connection was never open.
+    #[default]
+    Nothing,
+    /// It waits for the answer.
+    Open,
+    /// The server closed its connection.
+    Closed,
+}
+
+/// What a server showed since it was found silent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Trace {
+    /// Whether it sent anything on a connection from before.
+    pub has_gone_on: bool,
+    /// Whether it refuses connections.
+    pub is_refusing: bool,
+    /// Whether its id and address are listed.
+    pub is_listed: bool,
+    /// Number of checks since it answered on a later connection; `None` if it didn't.
+    pub checks_since_answer: Option<u32>,
+    /// The probe from before.
+    pub probe: Owed,
+    /// Number of requests from before whose connections are still open.
+    pub open_requests: usize,
+}
+
+/// What became of a silent server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is still silent.
+    Silent,
+    /// It goes on with what it had.
+    GoesOn,
+    /// It has ended, and its requests with it.
+    Ended,
+    /// It is no longer listed. Its requests may still be answered.
+    Unlisted,
+    /// It answers, and nothing shows whether it is the same run of the server.
+    Unknown,
+}
+
+impl Trace {
+    /// Returns what became of the server.
+    pub fn fate(&self) -> Fate {
+        if self.has_gone_on {
+            return Fate::GoesOn;
+        }
+        if self.is_refusing {
+            return Fate::Ended;
+        }
+        if self.checks_since_answer.is_none_or(|checks| checks < SETTLING_CHECKS) {
+            return if self.is_listed { Fate::Silent } else { Fate::Unlisted };
+        }
+        match self.probe {
+            Owed::Nothing => Fate::Unknown,
+            // A server with many connections closes some of them, but all only when it ends.
+            Owed::Closed if self.open_requests > 0 => Fate::GoesOn,
+            Owed::Open | Owed::Closed => Fate::Ended,
+        }
+    }
+}
+
 /// Doubts of one instance.
 #[derive(Debug, Clone, Default)]
 pub struct Silence {
@@ -80,7 +154,8 @@
     /// Time at which this process last went on after a standstill.
     resumed_at: Millis,
     probed_at: Map<String, Millis>,
-    silent_at: Map<String, Millis>,
+    /// Servers that were found silent and whose fate isn't known.
+    silent: Set<String>,
 }
 
 impl Silence {
@@ -95,10 +170,9 @@
             self.resumed_at = now;
         }
         self.probed_at.retain(|_, at| now < *at + PROBE_INTERVAL_MS);
-        self.silent_at.retain(|_, at| now < *at + SILENT_MS);
         let is_doubtful = |observed: &Observed<'_>| {
             now >= observed.quiet_since.max(self.resumed_at) + DOUBT_MS
-                && !self.probed_at.contains_key(observed.server)
+                && self.may_testify(observed.server)
         };
         let mut doubtful: Vec<Observed<'_>> = observed.filter(is_doubtful).collect();
         doubtful.sort_unstable_by_key(|observed| (observed.quiet_since, observed.server));
@@ -111,13 +185,12 @@
 
     /// Whether a server may testify on others.
     pub fn may_testify(&self, server: &str) -> bool {
-        !self.silent_at.contains_key(server) && !self.probed_at.contains_key(server)
+        !self.silent.contains(server) && !self.probed_at.contains_key(server)
     }
 
     /// Returns what follows from the probe of a server.
-    pub fn judge(&mut self, now: Millis, server: &str, probed: &Probed) -> Verdict {
+    pub fn judge(&mut self, server: &str, probed: &Probed) -> Verdict {
         if probed.has_answered {
-            self.silent_at.remove(server);
             return Verdict::Lives;
         }
         let stood_still = probed.took_ms > PROBE_TIMEOUT_MS + PROBE_DELAY_MS;
@@ -125,7 +198,12 @@
         if stood_still || !is_alone {
             return Verdict::Unclear;
         }
-        self.silent_at.insert(server.to_owned(), now);
+        self.silent.insert(server.to_owned());
         Verdict::Silent
     }
+
+    /// Ends the silence of a server.
+    pub fn resolve(&mut self, server: &str) {
+        self.silent.remove(server);
+    }
 }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -309,3 +309,87 @@
     lose(&mut quarantine, 1_300, "b", ("s2", 0), true);
     assert!(quarantine.remaining(1_300, &content("a")).is_some());
 }
+
+#[test]
+fn suspicion_outlives_the_silence_of_a_server() {
+    let mut quarantine = Quarantine::default();
+    for (server, path) in [("s1", "a"), ("s2", "a")] {
+        let end = quarantine.end_of(server, 0);
+        quarantine.suspect(1_000, vec![Crash::new(content(path), end, true)]);
+    }
+    assert!(quarantine.is_held(&content("a")));
+    assert_eq!(quarantine.remaining(1_000, &content("b")), None);
+    quarantine.clear(quarantine.end_of("s1", 0));
+    assert!(!quarantine.is_held(&content("a")) && quarantine.is_empty());
+    quarantine.clear(quarantine.end_of("s2", 0));
+    assert_eq!(quarantine.suspicions(1_100), []);
+    assert_eq!(quarantine.report(1_100), Report::default());
+}
+
+#[test]
+fn content_of_silent_servers_is_sent_to_further_ones() {
+    let mut quarantine = Quarantine::default();
+    // One server ended with it, another is silent.
+    let end = quarantine.end_of("s1", 0);
+    quarantine.observe(0, Crash::new(content("a"), end, true));
+    assert_eq!(quarantine.remaining(1_000, &content("a")), None);
+    let end = quarantine.end_of("s2", 0);
+    quarantine.suspect(1_000, vec![Crash::new(content("a"), end, true)]);
+    let remaining = quarantine.remaining(1_000, &content("a"));
+    assert!(remaining.is_some_and(|remaining| remaining <= 1_000), "{remaining:?}");
+    // The silent one has ended as well.
+    quarantine.clear(end);
+    assert!(quarantine.observe(4_000, Crash::new(content("a"), end, true)));
+    assert_eq!(quarantine.remaining(4_000, &content("a")), Some(QUARANTINE_MS));
+}
+
+#[test]
+fn silent_server_of_two_instances_counts_twice() {
+    let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+    for quarantine in [&mut first, &mut second] {
+        let end = quarantine.end_of("s1", 0);
+        quarantine.suspect(0, vec![Crash::new(content("a"), end, true)]);
+    }
+    second.extend_suspicions(100, &first.own_suspicions(100));
+    assert!(!second.is_held(&content("a")));
+}
+
+#[test]
+fn entry_does_not_know_the_suspicions_of_another_one() {
+    let (mut first, mut second, mut control) =
+        (Quarantine::default(), Quarantine::default(), Quarantine::default());
+    for (quarantine, server) in [(&mut first, "s1"), (&mut second, "s2")] {
+        let end = quarantine.end_of(server, 0);
+        quarantine.suspect(0, vec![Crash::new(content("a"), end, true)]);
+    }
+    control.extend_suspicions(100, &first.own_suspicions(100));
+    second.extend_suspicions(200, &control.suspicions(200));
+    assert!(second.is_held(&content("a")));
+    // The server of the first one goes on.
+    first.clear(first.end_of("s1", 0));
+    for now in (300..2_000).step_by(EXCHANGE_MS as usize) {
+        control.extend_suspicions(now, &first.own_suspicions(now));
+        second.extend_suspicions(now, &control.suspicions(now));
+    }
+    assert!(!second.is_held(&content("a")));
+}
+
+#[test]
+fn instances_renew_a_suspicion_for_each_other() {
+    let mut observer = Quarantine::default();
+    let end = observer.end_of("s1", 0);
+    observer.suspect(0, vec![Crash::new(content("a"), end, true)]);
+    let mut controls = [Quarantine::default(), Quarantine::default(), Quarantine::default()];
+    controls[0].extend_suspicions(0, &observer.own_suspicions(0));
+    // The observer is gone; the others go on exchanging what they know.
+    for now in (0..3_000).step_by(EXCHANGE_MS as usize) {
+        for (from, to) in [(0, 1), (1, 2), (2, 0), (1, 0), (0, 2), (2, 1)] {
+            let known = controls[from].suspicions(now);
+            // The message takes its time, which its content doesn't tell.
+            controls[to].extend_suspicions(now + 50, &known);
+        }
+    }
+    for control in &controls {
+        assert_eq!(control.suspicions(3_000), []);
+    }
+}
--- a/crates/coordination/tests/silence.rs
+++ b/crates/coordination/tests/silence.rs
@@ -1,6 +1,8 @@
 //! Tests of the recognition of backend servers that fall silent.
 
-use coordination::silence::{DOUBT_MS, Observed, PROBE_TIMEOUT_MS, Probed, Silence, Verdict};
+use coordination::silence::{
+    DOUBT_MS, Fate, Observed, Owed, PROBE_TIMEOUT_MS, Probed, Silence, Trace, Verdict,
+};
 
 /// Interval between two checks, in milliseconds.
 const CHECK_MS: u64 = 100;
@@ -33,8 +35,8 @@
 fn slow_server_is_taken_for_a_silent_one() {
     let mut silence = Silence::default();
     let slow = Probed { has_answered: true, ..SILENT };
-    assert_eq!(silence.judge(0, "s1", &slow), Verdict::Lives);
-    assert_eq!(silence.judge(0, "s1", &SILENT), Verdict::Silent);
+    assert_eq!(silence.judge("s1", &slow), Verdict::Lives);
+    assert_eq!(silence.judge("s1", &SILENT), Verdict::Silent);
 }
 
 #[test]
@@ -42,10 +44,10 @@
     let mut silence = Silence::default();
     for answering_witnesses in [0, 1] {
         let probed = Probed { answering_witnesses, ..SILENT };
-        assert_eq!(silence.judge(0, "s1", &probed), Verdict::Unclear);
+        assert_eq!(silence.judge("s1", &probed), Verdict::Unclear);
     }
     let alone = Probed { witnesses: 0, answering_witnesses: 0, ..SILENT };
-    assert_eq!(silence.judge(0, "s1", &alone), Verdict::Unclear);
+    assert_eq!(silence.judge("s1", &alone), Verdict::Unclear);
 }
 
 #[test]
@@ -62,7 +64,7 @@
     assert_eq!(silence.check(now, observed("s1", 900).into_iter()), ["s1"]);
     // It stood still during the probe.
     let late = Probed { took_ms: 5_000, ..SILENT };
-    assert_eq!(silence.judge(now + 5_000, "s1", &late), Verdict::Unclear);
+    assert_eq!(silence.judge("s1", &late), Verdict::Unclear);
 }
 
 #[test]
@@ -71,10 +73,13 @@
     assert!(silence.may_testify("s1"));
     silence.check(0, observed("s1", 0).into_iter());
     silence.check(CHECK_MS, observed("s1", 0).into_iter());
-    assert_eq!(silence.judge(1_000, "s1", &SILENT), Verdict::Silent);
+    assert_eq!(silence.judge("s1", &SILENT), Verdict::Silent);
     silence.check(1_100, std::iter::empty());
     assert!(!silence.may_testify("s1") && silence.may_testify("s2"));
-    silence.judge(2_000, "s1", &Probed { has_answered: true, ..SILENT });
+    // It isn't probed like a slow one, nor does it testify, until its fate is known.
+    assert!(silence.check(20_000, observed("s1", 0).into_iter()).is_empty());
+    assert!(!silence.may_testify("s1"));
+    silence.resolve("s1");
     assert!(silence.may_testify("s1"));
 }
 
@@ -94,3 +99,58 @@
     assert_eq!(probed[..4], ["s39", "s38", "s37", "s36"]);
     assert!(probed.len() <= 16, "{} probes in four seconds", probed.len());
 }
+
+/// A silent server with a request and a probe from before.
+const TRACE: Trace = Trace {
+    has_gone_on: false,
+    is_refusing: false,
+    is_listed: true,
+    checks_since_answer: None,
+    probe: Owed::Open,
+    open_requests: 1,
+};
+
+#[test]
+fn silence_alone_ends_a_server() {
+    for probe in [Owed::Nothing, Owed::Open, Owed::Closed] {
+        for open_requests in [0, 1] {
+            let trace = Trace { probe, open_requests, ..TRACE };
+            assert_eq!(trace.fate(), Fate::Silent, "{trace:?}");
+        }
+    }
+}
+
+#[test]
+fn server_that_goes_on_is_taken_for_one_that_ended() {
+    // It may answer a later connection first.
+    for checks in 0..5 {
+        let trace = Trace { checks_since_answer: Some(checks), ..TRACE };
+        assert_eq!(trace.fate(), Fate::Silent, "{checks}");
+    }
+    let signs = Trace {
+        is_refusing: true,
+        is_listed: false,
+        checks_since_answer: Some(100),
+        probe: Owed::Closed,
+        open_requests: 0,
+        ..TRACE
+    };
+    assert_eq!(Trace { has_gone_on: true, ..signs }.fate(), Fate::GoesOn);
+    // It closes the connection of the probe because it has too many.
+    let closed = Trace { checks_since_answer: Some(100), probe: Owed::Closed, ..TRACE };
+    assert_eq!(closed.fate(), Fate::GoesOn);
+    // Nothing of before is left that it could answer.
+    let unknown = Trace { checks_since_answer: Some(100), probe: Owed::Nothing, ..TRACE };
+    assert_eq!(unknown.fate(), Fate::Unknown);
+}
+
+#[test]
+fn server_that_ended_in_silence_is_waited_for() {
+    assert_eq!(Trace { is_refusing: true, ..TRACE }.fate(), Fate::Ended);
+    assert_eq!(Trace { is_listed: false, ..TRACE }.fate(), Fate::Unlisted);
+    // It has started again, and forgot the probe or closed everything.
+    let forgotten = Trace { checks_since_answer: Some(5), ..TRACE };
+    assert_eq!(forgotten.fate(), Fate::Ended);
+    let closed = Trace { probe: Owed::Closed, open_requests: 0, ..forgotten };
+    assert_eq!(closed.fate(), Fate::Ended);
+}
--- a/crates/protocol/src/presence.rs
+++ b/crates/protocol/src/presence.rs
@@ -9,7 +9,7 @@
 use coordination::membership::Candidate;
 use coordination::pace::Step;
 use coordination::placement::Listing;
-use coordination::quarantine::Report;
+use coordination::quarantine::{Crash, Report};
 use coordination::usage;
 use coordination::versions::Settled;
 use serde::{Deserialize, Deserializer, Serialize};
@@ -110,6 +110,10 @@
     /// builds neither send nor read them.
     #[serde(deserialize_with = "tail")]
     pub paces: Vec<(String, Step)>,
+    /// Content of the requests that silent backend servers have, as the sender sees it. Earlier builds
+    /// neither send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub suspicions: Vec<Crash>,
 }
 
 /// Rate limit of a backend server as an instance observed it.
@@ -320,6 +324,10 @@
     /// builds neither send nor read them.
     #[serde(deserialize_with = "tail")]
     pub paces: Vec<Step>,
+    /// Content of the requests that silent backend servers have, as entries see it. Earlier builds neither
+    /// send nor read it.
+    #[serde(deserialize_with = "tail")]
+    pub suspicions: Vec<Crash>,
 }
 
 /// Decodes a field at the end of a message, which ends before it if an earlier build has sent it.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -193,6 +193,7 @@
         fetches_registry: false,
         usage: None,
         paces: Vec::new(),
+        suspicions: Vec::new(),
     };
     let build = presence::Build { version: (0, 2, 0), format: 1 };
     let announced = Heartbeat { build, ..heartbeat.clone() };
@@ -200,7 +201,10 @@
     let fetching = Heartbeat { fetches_registry: true, ..reported.clone() };
     let used = Heartbeat { usage: Some(usage_report()), ..fetching.clone() };
     let paced = Heartbeat { paces: vec![("s1".into(), Step(42))], ..used.clone() };
-    check("request-heartbeat-paces", &Request::Heartbeat(Box::new(paced)));
+    let suspicions = quarantine().crashes;
+    let suspecting = Heartbeat { suspicions, ..paced.clone() };
+    check("request-heartbeat-suspicions", &Request::Heartbeat(Box::new(suspecting)));
+    check_without_tail("request-heartbeat-paces", &Request::Heartbeat(Box::new(paced)));
     check_without_tail("request-heartbeat-usage", &Request::Heartbeat(Box::new(used)));
     check_without_tail("request-heartbeat-fetches", &Request::Heartbeat(Box::new(fetching)));
     check_without_tail("request-heartbeat-quarantine", &Request::Heartbeat(Box::new(reported)));
@@ -244,6 +248,7 @@
         confirmation: None,
         usage: None,
         paces: Vec::new(),
+        suspicions: Vec::new(),
         roster: Some(Roster {
             digest: 78,
             entries: vec![presence::Entry {
@@ -291,7 +296,10 @@
     let confirming = presence::Reply { confirmation, ..comparing.clone() };
     let used = presence::Reply { usage: Some(usage_sums()), ..confirming.clone() };
     let paced = presence::Reply { paces: vec![Step(42)], ..used.clone() };
-    check("response-heartbeat-paces", &Response::HeartbeatReply(Box::new(paced)));
+    let suspicions = quarantine().crashes;
+    let suspecting = presence::Reply { suspicions, ..paced.clone() };
+    check("response-heartbeat-suspicions", &Response::HeartbeatReply(Box::new(suspecting)));
+    check_without_tail("response-heartbeat-paces", &Response::HeartbeatReply(Box::new(paced)));
     check_without_tail("response-heartbeat-usage", &Response::HeartbeatReply(Box::new(used)));
     let confirming = Response::HeartbeatReply(Box::new(confirming));
     check_without_tail("response-heartbeat-confirmation", &confirming);
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -6,8 +6,10 @@
 use crate::gateway::entry::Entry;
 use crate::gateway::loss::{Loss, Subject};
 use crate::gateway::pool::Connection;
+use crate::gateway::silence::{Pending, Registration};
 use coordination::placement::{Listing, Outcome};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// An attempt in progress. Dropping it closes the connection, which stops the work on the
 /// server, and reports the outcome.
@@ -19,6 +21,8 @@
     pub(super) subject: Option<Arc<Subject>>,
     /// Whether it is for a stream whose response has not begun.
     pub(super) is_before_stream: bool,
+    /// Entry among the requests of the server, once it is sent.
+    registration: Option<Registration>,
     outcome: Outcome,
     /// Whether the request was forwarded to another entry.
     is_forwarded: bool,
@@ -34,6 +38,7 @@
             connection: None,
             subject: None,
             is_before_stream: false,
+            registration: None,
             outcome: Outcome::Cancelled,
             is_forwarded: false,
         }
@@ -49,6 +54,27 @@
         attempt
     }
 
+    /// Registers `request` among those of the server, on the connection of the attempt.
+    pub(super) fn register(&mut self, request: &str) {
+        let (Some(connection), Some(subject)) = (&self.connection, &self.subject) else {
+            return;
+        };
+        self.registration = Some(connection.peer.register(Pending {
+            request: request.to_owned(),
+            subject: subject.clone(),
+            server: self.server.id.clone(),
+            sent_at: self.entry.now(),
+            is_before_first_event: AtomicBool::new(self.is_before_stream),
+        }));
+    }
+
+    /// Records that the first event of the stream has arrived.
+    pub(crate) fn observe_output(&self) {
+        if let Some(registration) = &self.registration {
+            registration.pending.is_before_first_event.store(false, Ordering::Relaxed);
+        }
+    }
+
     /// Records the pace of the server's stream: the time of `intervals` intervals between its events.
     pub(crate) fn observe_pace(&self, micros: u64, intervals: u64) {
         if !self.is_forwarded
@@ -58,9 +84,9 @@
         }
     }
 
-    /// Whether its connection was closed because the server is silent.
-    pub(super) fn has_silent_server(&self) -> bool {
-        self.connection.as_ref().is_some_and(Connection::has_fallen_silent)
+    /// Whether its connection was closed because the server has ended in silence.
+    pub(super) fn has_ended_silently(&self) -> bool {
+        self.connection.as_ref().is_some_and(Connection::is_closed_silently)
     }
 
     /// Ends the attempt with an outcome.
@@ -69,26 +95,23 @@
     }
 
     /// Ends the attempt of `request` after the server closed the connection before its response was
-    /// complete; `None` for a request that was forwarded.
+    /// complete; `None` for a request that was forwarded, or is known to be lost already.
     pub(super) fn lose(mut self, request: &str, is_before_first_event: bool) -> Option<Loss> {
         self.outcome = Outcome::Failed;
         let request = request.to_owned();
-        Some(Loss { request, is_before_first_event, ..self.loss()? })
+        let loss = Loss { request, is_before_first_event, ..self.loss()? };
+        (!self.has_ended_silently()).then_some(loss)
     }
 
     /// The attempt as one that is lost now; `None` for a request that was forwarded, or not sent.
     fn loss(&self) -> Option<Loss> {
-        let connection = self.connection.as_ref()?;
-        let is_silent = connection.has_fallen_silent();
-        let heard_at = connection.peer.heard_at();
         Some(Loss {
             request: String::new(),
             content: self.subject.as_ref()?.content(),
             server: self.server.id.clone(),
             address: self.server.address.clone(),
             is_before_first_event: self.is_before_stream,
-            is_silent,
-            alive_at: if is_silent { heard_at } else { connection.opened_at },
+            alive_at: self.connection.as_ref()?.opened_at,
         })
     }
 
@@ -112,12 +135,14 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         if self.outcome == Outcome::Cancelled
+            && let Some(peer) = self.connection.as_ref().map(|connection| &connection.peer)
+            // The requests of a silent server are known.
+            && !peer.is_silent()
             && self.subject.is_some()
             && self.entry.is_quiet(&self.server.address)
             && let Some(loss) = self.loss()
         {
-            let alive_at = self.connection.as_ref().map_or(0, |c| c.peer.heard_at());
-            self.entry.doubt(Loss { is_silent: true, alive_at, ..loss });
+            self.entry.doubt(Loss { alive_at: peer.heard_at(), ..loss });
         }
         let now = self.entry.now();
         if !self.is_forwarded
--- a/crates/transport/src/gateway/loss.rs
+++ b/crates/transport/src/gateway/loss.rs
@@ -2,8 +2,8 @@
 //!
 //! The server may have ended, or only the response was lost. A process that ends closes the socket
 //! that it listens on together with its connections, so the entry connects again at once: a
-//! server that has ended refuses. A server that has fallen silent was probed before its connections
-//! were closed.
+//! server that has ended refuses. The losses of a server that has ended in silence are known from
+//! that silence.
 
 use crate::clock::millis;
 use crate::gateway::entry::Entry;
@@ -53,8 +53,6 @@
     pub(super) address: String,
     /// Whether the request is for a stream of which no event was received.
     pub(super) is_before_first_event: bool,
-    /// Whether the server has fallen silent.
-    pub(super) is_silent: bool,
     /// Time at which the server was last known to run. A new connection shows that, unless the server
     /// is silent: the network accepts connections for it.
     pub(super) alive_at: Millis,
@@ -67,13 +65,15 @@
         tokio::spawn(async move { entry.examine_loss(&loss).await });
     }
 
-    /// Records that the server ended under the request, and tells the control instances at once.
-    fn record_crash(&self, loss: &Loss) {
+    /// Records that the server ended under the request `age_ms` ago, and tells the control instances at
+    /// once.
+    fn record_crash(&self, loss: &Loss, age_ms: Millis) {
         let now = self.now();
         let recorded = self.member.quarantine.lock().map(|mut quarantine| {
             let withdrawn = quarantine.withdrawn();
             let end = quarantine.end_of(&loss.server, loss.alive_at);
             let crash = Crash::new(loss.content, end, loss.is_before_first_event);
+            let crash = Crash { age_ms, ..crash };
             (quarantine.observe(now, crash), quarantine.withdrawn() > withdrawn)
         });
         let Ok((is_quarantined, is_withdrawn)) = recorded else {
@@ -97,28 +97,30 @@
         self.member.heartbeat_trigger.notify_one();
     }
 
+    /// Counts a request that was lost with a server that ended in silence, `age_ms` ago or earlier,
+    /// against its content.
+    pub(super) fn record_silent_loss(&self, loss: &Loss, age_ms: Millis) {
+        self.record_crash(loss, age_ms);
+        self.metrics.loss("server silent");
+        tracing::info!(
+            request = loss.request,
+            content = %loss.content,
+            server = loss.server,
+            address = loss.address,
+            is_before_first_event = loss.is_before_first_event,
+            "response lost with a silent server"
+        );
+    }
+
     /// Finds out whether the backend server has ended, and counts that against the content.
     pub(super) async fn examine_loss(&self, loss: &Loss) {
-        if loss.is_silent {
-            self.record_crash(loss);
-            self.metrics.loss("server silent");
-            tracing::info!(
-                request = loss.request,
-                content = %loss.content,
-                server = loss.server,
-                address = loss.address,
-                is_before_first_event = loss.is_before_first_event,
-                "response lost with a silent server"
-            );
-            return;
-        }
         let started = Instant::now();
         let connected = self.pool.probe(&loss.address).await;
         let error = connected.err();
         let kind = error.as_ref().map(io::Error::kind);
         let has_ended = kind == Some(io::ErrorKind::ConnectionRefused);
         if has_ended {
-            self.record_crash(loss);
+            self.record_crash(loss, 0);
         }
         self.metrics.loss(match kind {
             Some(io::ErrorKind::ConnectionRefused) => "server ended",
--- a/crates/transport/src/gateway/metrics.rs
+++ b/crates/transport/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     forwarded: Family<Label, Counter>,
     losses: Family<Label, Counter>,
     probes: Family<Label, Counter>,
+    silences: Family<Label, Counter>,
     organisations: Family<OrganisationLabel, Counter>,
     lease_age: Gauge,
     lease_held: Gauge,
@@ -75,6 +76,9 @@
         let probes = Family::<Label, Counter>::default();
         let help = "Probes of servers that may have fallen silent, by what they showed";
         registry.register("silence_probes", help, probes.clone());
+        let silences = Family::<Label, Counter>::default();
+        let help = "Servers that had fallen silent, by what became of them";
+        registry.register("silent_servers", help, silences.clone());
         let organisations = Family::<OrganisationLabel, Counter>::default();
         let help = "Requests with the key of an organisation, and refusals by reason";
         registry.register("organisation_requests", help, organisations.clone());
@@ -126,6 +130,7 @@
             forwarded,
             losses,
             probes,
+            silences,
             organisations,
             lease_age,
             lease_held,
@@ -178,6 +183,11 @@
         self.probes.get_or_create(&Label { outcome: verdict.to_owned() }).inc();
     }
 
+    /// Counts a server that had fallen silent.
+    pub(crate) fn silence(&self, fate: &str) {
+        self.silences.get_or_create(&Label { outcome: fate.to_owned() }).inc();
+    }
+
     /// Counts a request that carries the key of an organisation.
     pub(crate) fn organisation_request(&self, organisation: &str) {
         self.count_for_organisation(organisation, "accepted");
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -62,8 +62,8 @@
     allowance: Arc<Allowance>,
     pub(super) peer: Arc<Peer>,
     pub(super) opened_at: Millis,
-    /// Whether it was closed because the server has fallen silent.
-    has_fallen_silent: Arc<AtomicBool>,
+    /// Whether it was closed because the server has ended in silence.
+    is_closed_silently: Arc<AtomicBool>,
 }
 
 /// Number of bytes that a connection may still receive.
@@ -97,6 +97,7 @@
     received: Arc<AtomicU64>,
     allowance: Arc<Allowance>,
     peer: Arc<Peer>,
+    opened_at: Millis,
 }
 
 impl AsyncRead for Metered {
@@ -110,7 +111,7 @@
         let count = buffer.filled().len() - filled;
         self.received.fetch_add(count as u64, Ordering::Relaxed);
         if count > 0 {
-            self.peer.hear();
+            self.peer.hear(self.opened_at);
         }
         if self.allowance.deduct(count) {
             return Poll::Ready(Ok(()));
@@ -173,14 +174,17 @@
     ///
     /// Returns the cause if the server does not accept it in time.
     async fn open(
-        connector: &dyn Connector,
-        address: &str,
+        connector: Arc<dyn Connector>,
+        address: String,
         received: Arc<AtomicU64>,
         peer: Arc<Peer>,
     ) -> io::Result<Self> {
         let address: SocketAddr = address.parse().map_err(io::Error::other)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(address)).await;
-        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+        let is_refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+        peer.observe_opening(stream.as_ref().is_err_and(is_refused));
+        let stream = stream?;
         let configured = stream
             .set_nodelay(true)
             .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
@@ -190,26 +194,33 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES).writev(true);
         let allowance = Arc::new(Allowance(AtomicUsize::new(HEAD_BYTES)));
-        let stream = Metered { stream, received, allowance: allowance.clone(), peer: peer.clone() };
+        let opened_at = peer.now();
+        let stream = Metered {
+            stream,
+            received,
+            allowance: allowance.clone(),
+            peer: peer.clone(),
+            opened_at,
+        };
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
-        let has_fallen_silent = Arc::new(AtomicBool::new(false));
-        let (silent, silent_peer) = (has_fallen_silent.clone(), peer.clone());
+        let is_closed_silently = Arc::new(AtomicBool::new(false));
+        let (is_closed, ending_peer) = (is_closed_silently.clone(), peer.clone());
         let task = tokio::spawn(async move {
             tokio::select! {
                 ended = connection => if let Err(error) = ended {
                     tracing::debug!(%error, "connection to a backend server ended");
                 },
-                () = silent_peer.silence() => silent.store(true, Ordering::Relaxed),
+                () = ending_peer.ended() => is_closed.store(true, Ordering::Relaxed),
             }
         });
-        let (task, opened_at) = (task.abort_handle(), peer.now());
-        Ok(Self { sender, task, allowance, peer, opened_at, has_fallen_silent })
+        let task = task.abort_handle();
+        Ok(Self { sender, task, allowance, peer, opened_at, is_closed_silently })
     }
 
-    /// Whether it was closed because the server has fallen silent.
-    pub(super) fn has_fallen_silent(&self) -> bool {
-        self.has_fallen_silent.load(Ordering::Relaxed)
+    /// Whether it was closed because the server has ended in silence.
+    pub(super) fn is_closed_silently(&self) -> bool {
+        self.is_closed_silently.load(Ordering::Relaxed)
     }
 
     /// Sends a request and waits for the head of the response.
@@ -280,12 +291,12 @@
         peer
     }
 
-    /// Closes all connections to a server that has fallen silent.
-    pub(super) fn close_silent(&self, address: &str) {
+    /// Closes all connections to a server that has ended in silence.
+    pub(super) fn close_ended(&self, address: &str) {
         if let Ok(mut idle) = self.idle.lock() {
             idle.remove(address);
         }
-        self.peer(address).fall_silent();
+        self.peer(address).end();
     }
 
     /// Returns an idle connection to `address` or opens one; the flag is `true` for a new
@@ -306,9 +317,17 @@
     /// # Errors
     ///
     /// Returns the cause if no connection can be opened.
-    pub(super) async fn open(&self, address: &str) -> io::Result<Connection> {
+    async fn open(&self, address: &str) -> io::Result<Connection> {
+        self.opening(address).await
+    }
+
+    /// Begins to open a connection.
+    pub(super) fn opening(
+        &self,
+        address: &str,
+    ) -> impl Future<Output = io::Result<Connection>> + Send + use<> {
         let peer = self.peer(address);
-        Connection::open(self.connector.as_ref(), address, self.received.clone(), peer).await
+        Connection::open(self.connector.clone(), address.to_owned(), self.received.clone(), peer)
     }
 
     /// Opens a connection that the next request to `address` can use.
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -44,8 +44,8 @@
     /// The backend server closed the connection before the response body was complete.
     #[error("the backend server closed the connection")]
     Server,
-    /// This instance closed the connection to the backend server, because that is silent.
-    #[error("the backend server is silent")]
+    /// This instance closed the connection to the backend server, because that ended in silence.
+    #[error("the backend server ended in silence")]
     Silence,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
@@ -261,7 +261,7 @@
             Poll::Ready(Some(Err(error))) => {
                 self.error = Some(error::chain(&error));
                 let attempt = self.attempt.as_ref();
-                let is_silent = attempt.is_some_and(Attempt::has_silent_server);
+                let is_silent = attempt.is_some_and(Attempt::has_ended_silently);
                 let abort = if is_silent { Abort::Silence } else { Abort::Server };
                 self.abort_after_flush(abort, context)
             }
@@ -286,6 +286,11 @@
             let counted = memory::counted(events.held_bytes(), copies);
             self.grant.grow_response(counted).map_err(|full| full.to_string())?;
             if events.count > count_before {
+                if count_before == 0
+                    && let Some(attempt) = &self.attempt
+                {
+                    attempt.observe_output();
+                }
                 let now = Instant::now();
                 let (first_count, first_at) =
                     self.events_between.map_or((events.count, now), |(count, at, _)| (count, at));
@@ -385,7 +390,7 @@
         self.record_end(match abort {
             Abort::Caller => "caller left",
             Abort::Server => "server broke off",
-            Abort::Silence => "server silent",
+            Abort::Silence => "server ended silently",
             Abort::DeadlineExceeded => "time is over",
             Abort::Excess => "server sent too much",
             Abort::NotRecorded => "not recorded",
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -12,6 +12,7 @@
 use crate::gateway::loss::{Loss, Subject};
 use crate::gateway::origin::Versions;
 use crate::gateway::pool::{Connection, SendError};
+use crate::gateway::silence::Peer;
 use crate::gateway::turns::Turn;
 use crate::gateway::waiter::Waiter;
 use bytes::Bytes;
@@ -100,6 +101,8 @@
     Attempt,
     /// This instance reaches no backend server any more.
     Partition,
+    /// The backend server is silent; the request may be sent to another one.
+    Silence,
     /// Deadline of the request.
     Request,
 }
@@ -194,7 +197,9 @@
         let Some(remaining) = remaining else {
             return Ok(());
         };
-        let detail = format!("backend servers ended while they executed content {content}");
+        let is_held = quarantine.lock().is_ok_and(|quarantine| quarantine.is_held(&content));
+        let fate = if is_held { "are silent" } else { "ended" };
+        let detail = format!("backend servers {fate} while they executed content {content}");
         if self.may_have_executed {
             return Err(Refusal::new(Kind::Failed, detail).into());
         }
@@ -399,7 +404,13 @@
             );
             self.is_sent.store(true, Ordering::Relaxed);
             self.set_permit_used(true);
-            let sent = self.wait(outbound, connection.send(request), remaining, attempted).await;
+            let peer = connection.peer.clone();
+            attempt.register(&outbound.metadata.id);
+            let Some(connection) = attempt.connection.as_mut() else {
+                return AttemptResult::Unavailable;
+            };
+            let sent = connection.send(request);
+            let sent = self.wait(outbound, sent, remaining, attempted, &peer).await;
             let response = match sent {
                 Ok(Ok(response)) => response,
                 Ok(Err(SendError::NotSent)) if !is_new => continue,
@@ -408,8 +419,8 @@
                     return AttemptResult::Unavailable;
                 }
                 Ok(Err(SendError::NoResponse(detail))) => {
-                    let detail = match attempt.has_silent_server() {
-                        true => "the backend server is silent".to_owned(),
+                    let detail = match attempt.has_ended_silently() {
+                        true => "the backend server ended in silence".to_owned(),
                         false => detail,
                     };
                     let loss = attempt.lose(&outbound.metadata.id, outbound.route.is_stream);
@@ -426,6 +437,9 @@
                 Err(Timeout::Partition) => {
                     return AttemptResult::NoResponse("no backend server is reached".to_owned());
                 }
+                Err(Timeout::Silence) => {
+                    return AttemptResult::NoResponse("the backend server is silent".to_owned());
+                }
                 Err(Timeout::Request) => return AttemptResult::DeadlineExceeded,
             };
             return self.classify(response, attempt, &dispatch).await;
@@ -496,13 +510,16 @@
     /// and has attempts remaining, another server has a free slot and the retry budget is not
     /// exhausted; otherwise only the deadline of the request applies.
     ///
-    /// A request that may be repeated is given up when this instance is found to be partitioned.
+    /// A request that may be repeated is given up when this instance is found to be partitioned, or
+    /// when its server is found silent and it can go to another one. Any other request stays with a
+    /// silent server, which may go on.
     async fn wait<T>(
         &self,
         outbound: &Outbound<'_>,
         response: impl Future<Output = T>,
         remaining: Duration,
         attempted: &[String],
+        peer: &Peer,
     ) -> Result<T, Timeout> {
         let response = self.wait_for_timeouts(outbound, response, remaining, attempted);
         if outbound.route.retry != Retry::Always {
@@ -513,12 +530,37 @@
             // The entry holds the sender, so that the wait doesn't fail.
             while partitions.changed().await.is_ok() && !*partitions.borrow_and_update() {}
         };
+        let may_leave = async {
+            loop {
+                peer.silence().await;
+                if self.may_try_another(outbound, attempted) {
+                    break;
+                }
+            }
+        };
         tokio::select! {
             response = response => response,
             () = begins => Err(Timeout::Partition),
+            () = may_leave => Err(Timeout::Silence),
         }
     }
 
+    /// Whether a request may leave the backend server that has it for another one. Takes a retry from
+    /// the budget if so.
+    fn may_try_another(&self, outbound: &Outbound<'_>, attempted: &[String]) -> bool {
+        let may_repeat = outbound.route.retry == Retry::Always
+            && self.progress.attempts + 1 < outbound.route.max_attempts;
+        let now = self.entry.now();
+        let has_capacity = || {
+            let fleet = self.entry.fleet.lock();
+            fleet.is_ok_and(|fleet| fleet.has_capacity(now, outbound.service, attempted))
+        };
+        may_repeat
+            && has_capacity()
+            && self.check_quarantine(outbound).is_ok()
+            && self.entry.retries.lock().is_ok_and(|mut budget| budget.withdraw())
+    }
+
     /// Waits for the response, without regard to partitions.
     async fn wait_for_timeouts<T>(
         &self,
@@ -535,11 +577,7 @@
             if let Ok(response) = tokio::time::timeout(timeout, &mut response).await {
                 return Ok(response);
             }
-            let now = self.entry.now();
-            let fleet = self.entry.fleet.lock();
-            let has_capacity =
-                fleet.is_ok_and(|fleet| fleet.has_capacity(now, outbound.service, attempted));
-            if has_capacity && self.entry.retries.lock().is_ok_and(|mut budget| budget.withdraw()) {
+            if self.may_try_another(outbound, attempted) {
                 return Err(Timeout::Attempt);
             }
         }
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -1,25 +1,30 @@
-//! Probes of backend servers that may have fallen silent.
+//! Backend servers that may have fallen silent, and what becomes of them.
 //!
 //! The task feeds [`Silence`](coordination::silence::Silence) with what the connections show, and
-//! connects to the servers that it names. The connections to a server that has fallen silent are
-//! closed, so that its requests go the way of those whose server closed them. Requests that were
+//! connects to the servers that it names. A server that has fallen silent gets nothing new. What it
+//! has accepted stays with it, and its content is under suspicion, until a [`Fate`] is known: its
+//! requests go the way of those whose server closed them only if it has ended. Requests that were
 //! given up before are remembered until then as [`Doubt`]s.
 
 use crate::clock::{Clock, millis};
 use crate::gateway::dialect::{Dispatch, Identity};
 use crate::gateway::entry::Entry;
-use crate::gateway::loss::Loss;
+use crate::gateway::loss::{Loss, Subject};
 use bytes::Bytes;
 use coordination::Millis;
 use coordination::placement::Listing;
-use coordination::silence::{Observed, PROBE_TIMEOUT_MS, Probed, Verdict};
+use coordination::quarantine::Crash;
+use coordination::silence::{Fate, Observed, Owed, PROBE_TIMEOUT_MS, Probed, Trace, Verdict};
 use futures_util::future::join_all;
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::Full;
 use rand::seq::IteratorRandom;
+use state::collections::{Map, Set};
+use std::future::Future;
 use std::io;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -27,6 +32,12 @@
 /// Interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of checks between two probes of a silent server.
+const CHECKS_PER_PROBE: u32 = 10;
+
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(PROBE_TIMEOUT_MS);
+
 /// Number of servers of the failure domain of a silent one that are probed with it.
 const NEAR_WITNESSES: usize = 2;
 
@@ -43,9 +54,41 @@
 /// Time for which a request that was given up is remembered, in milliseconds: some probes.
 const DOUBT_RETENTION_MS: Millis = 4_000;
 
+/// Longest time by which the end of a server is dated back to the begin of its silence, in milliseconds.
+/// An end that is known late must still be reported.
+const MAX_END_AGE_MS: Millis = 5_000;
+
 /// Maximum number of requests that are remembered; later ones aren't.
 const MAX_DOUBTS: usize = 256;
 
+/// A request that a server has.
+#[derive(Debug)]
+pub(super) struct Pending {
+    /// Id of the request.
+    pub(super) request: String,
+    pub(super) subject: Arc<Subject>,
+    /// Id of the server.
+    pub(super) server: String,
+    pub(super) sent_at: Millis,
+    /// Whether it is for a stream of which no event was received.
+    pub(super) is_before_first_event: AtomicBool,
+}
+
+/// Entry of a request among those that its server has, until it is dropped.
+pub(super) struct Registration {
+    peer: Arc<Peer>,
+    number: u64,
+    pub(super) pending: Arc<Pending>,
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        if let Ok(mut requests) = self.peer.requests.lock() {
+            requests.remove(&self.number);
+        }
+    }
+}
+
 /// What the connections to one server show.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -54,7 +97,14 @@
     heard_at: AtomicU64,
     /// Time of the first request after that.
     asked_at: AtomicU64,
-    silent: Notify,
+    /// Time at which it was found silent; 0 if it goes on or never was.
+    silent_at: AtomicU64,
+    /// Whether it refused the last connection.
+    is_refusing: AtomicBool,
+    requests: Mutex<Map<u64, Arc<Pending>>>,
+    registered: AtomicU64,
+    fallen_silent: Notify,
+    ended: Notify,
 }
 
 impl Peer {
@@ -63,7 +113,12 @@
             clock,
             heard_at: AtomicU64::new(0),
             asked_at: AtomicU64::new(0),
-            silent: Notify::new(),
+            silent_at: AtomicU64::new(0),
+            is_refusing: AtomicBool::new(false),
+            requests: Mutex::default(),
+            registered: AtomicU64::new(0),
+            fallen_silent: Notify::new(),
+            ended: Notify::new(),
         }
     }
 
@@ -71,9 +126,19 @@
         self.clock.now()
     }
 
-    /// Records that bytes arrived.
-    pub(super) fn hear(&self) {
+    /// Records that bytes arrived on a connection that was opened at `opened_at`.
+    pub(super) fn hear(&self, opened_at: Millis) {
         self.heard_at.store(self.now(), Ordering::Relaxed);
+        if opened_at <= self.silent_at.load(Ordering::Relaxed) {
+            self.silent_at.store(0, Ordering::Relaxed);
+        }
+    }
+
+    /// Records whether the server refused a connection. One that accepts again has started again.
+    pub(super) fn observe_opening(&self, is_refusing: bool) {
+        if self.is_refusing.swap(is_refusing, Ordering::Relaxed) && !is_refusing {
+            self.heard_at.store(self.now(), Ordering::Relaxed);
+        }
     }
 
     /// Records that a request is sent.
@@ -93,14 +158,133 @@
         self.heard_at().max(self.asked_at.load(Ordering::Relaxed))
     }
 
+    /// Registers a request that is sent to the server.
+    pub(super) fn register(self: &Arc<Self>, pending: Pending) -> Registration {
+        let number = self.registered.fetch_add(1, Ordering::Relaxed);
+        let pending = Arc::new(pending);
+        if let Ok(mut requests) = self.requests.lock() {
+            requests.insert(number, pending.clone());
+        }
+        Registration { peer: self.clone(), number, pending }
+    }
+
+    /// Returns the requests that the server has had since `time` or longer.
+    fn requests_since(&self, time: Millis) -> Vec<Arc<Pending>> {
+        let Ok(requests) = self.requests.lock() else {
+            return Vec::new();
+        };
+        requests.values().filter(|pending| pending.sent_at <= time).cloned().collect()
+    }
+
+    /// Whether the server was found silent and has sent nothing since on connections from before.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent_at.load(Ordering::Relaxed) > 0
+    }
+
     /// Ends all waits for [`Peer::silence`].
-    pub(super) fn fall_silent(&self) {
-        self.silent.notify_waiters();
+    fn fall_silent(&self) {
+        self.fallen_silent.notify_waiters();
     }
 
-    /// Waits until the server has fallen silent.
+    /// Waits until the server is found silent.
     pub(super) async fn silence(&self) {
-        self.silent.notified().await;
+        self.fallen_silent.notified().await;
+    }
+
+    /// Ends all waits for [`Peer::ended`].
+    pub(super) fn end(&self) {
+        self.ended.notify_waiters();
+    }
+
+    /// Waits until the server has ended in silence.
+    pub(super) async fn ended(&self) {
+        self.ended.notified().await;
+    }
+}
+
+/// How a server reacts to a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reaction {
+    /// It answers.
+    Answered,
+    /// It closes the connection.
+    Closed,
+    /// It refuses the connection.
+    Refused,
+    /// The connection can't be opened.
+    Unreachable,
+    /// This instance could not try to open a connection.
+    Untried,
+}
+
+/// A probe that is under way. Its connection is closed when it is dropped.
+type Probe = Pin<Box<dyn Future<Output = Reaction> + Send>>;
+
+/// Waits for the reaction to a probe, if there is one; it is done then.
+async fn reaction(probe: &mut Option<Probe>) -> Reaction {
+    let Some(pending) = probe else {
+        return std::future::pending().await;
+    };
+    let reaction = pending.await;
+    *probe = None;
+    reaction
+}
+
+/// Probes of a silent server.
+struct Vigil {
+    /// Probe from before the server was found silent, or the first one whose connection was open.
+    earlier: Option<Probe>,
+    later: Option<Probe>,
+    trace: Trace,
+    checks: u32,
+    /// Whether the server closed the connection of a later probe. It may have been open when the server
+    /// ended, so that only the next one shows whether there is a server.
+    has_closed: bool,
+}
+
+impl Vigil {
+    fn new(earlier: Option<Probe>) -> Self {
+        let probe = if earlier.is_some() { Owed::Open } else { Owed::Nothing };
+        let trace = Trace { probe, is_listed: true, ..Trace::default() };
+        Self { earlier, later: None, trace, checks: 0, has_closed: false }
+    }
+
+    /// Waits for one check, and records how the server reacts to the probes.
+    async fn check(&mut self, begin_probe: impl Fn() -> Probe) {
+        let trace = &mut self.trace;
+        let pause = tokio::time::sleep(CHECK_INTERVAL);
+        let mut pause = std::pin::pin!(pause);
+        loop {
+            tokio::select! {
+                reaction = reaction(&mut self.earlier) => match reaction {
+                    Reaction::Answered => trace.has_gone_on = true,
+                    Reaction::Closed => trace.probe = Owed::Closed,
+                    Reaction::Refused => trace.is_refusing = true,
+                    Reaction::Unreachable | Reaction::Untried => trace.probe = Owed::Nothing,
+                },
+                reaction = reaction(&mut self.later) => match reaction {
+                    Reaction::Closed if !std::mem::replace(&mut self.has_closed, true) => {
+                        self.later = Some(begin_probe());
+                    }
+                    Reaction::Answered | Reaction::Closed => {
+                        trace.checks_since_answer.get_or_insert(0);
+                    }
+                    Reaction::Refused => trace.is_refusing = true,
+                    Reaction::Unreachable | Reaction::Untried => {}
+                },
+                () = &mut pause => break,
+            }
+        }
+        trace.checks_since_answer = trace.checks_since_answer.map(|checks| checks + 1);
+        self.checks += 1;
+        if self.checks.is_multiple_of(CHECKS_PER_PROBE) && trace.checks_since_answer.is_none() {
+            // A connection that isn't open by now is no longer tried.
+            let pending = self.later.replace(begin_probe());
+            if trace.probe == Owed::Nothing && pending.is_some() {
+                self.earlier = pending;
+                trace.probe = Owed::Open;
+            }
+        }
     }
 }
 
@@ -116,6 +300,8 @@
     pub(super) async fn watch_silence(self: Arc<Self>) {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
+            // Suspicions of others lapse also while no control instance is reached.
+            self.member.extend_suspicions(&[]);
             for address in self.doubtful_servers() {
                 let entry = self.clone();
                 tokio::spawn(async move { entry.examine_silence(&address).await });
@@ -128,7 +314,7 @@
         self.now() >= self.pool.peer(address).quiet_since() + MIN_WAIT_MS
     }
 
-    /// Remembers a request that was given up while its server was silent.
+    /// Remembers a request that was given up while its server was quiet.
     pub(super) fn doubt(&self, loss: Loss) {
         let at = self.now();
         if let Ok(mut doubts) = self.doubts.lock()
@@ -159,14 +345,17 @@
         silence.check(now, observed).into_iter().map(str::to_owned).collect()
     }
 
-    /// Probes a server, and ends its requests if it has fallen silent.
-    async fn examine_silence(&self, address: &str) {
+    /// Probes a server, and follows it if it has fallen silent.
+    async fn examine_silence(self: Arc<Self>, address: &str) {
         let started = Instant::now();
         let witnesses = self.witnesses(address);
         let others = join_all(witnesses.iter().map(|witness| self.lives(&witness.address)));
-        let (has_answered, others) = tokio::join!(self.lives(address), others);
+        let mut probe = self.begin_probe(address);
+        let first = tokio::time::timeout(PROBE_TIMEOUT, &mut probe);
+        let (first, others) = tokio::join!(first, others);
+        let is_open = first.is_err();
         let probed = Probed {
-            has_answered,
+            has_answered: first.is_ok_and(|reaction| reaction != Reaction::Unreachable),
             witnesses: others.len(),
             answering_witnesses: others.into_iter().filter(|lives| *lives).count(),
             took_ms: millis(started.elapsed()),
@@ -185,10 +374,7 @@
         let witnesses: Vec<&str> = witnesses.iter().map(|witness| witness.id.as_str()).collect();
         tracing::warn!(address, ?verdict, ?probed, ?witnesses, "server is silent");
         if verdict == Verdict::Silent {
-            self.pool.close_silent(address);
-            for doubt in self.take_doubts(address) {
-                self.examine_loss(&doubt.loss).await;
-            }
+            self.follow(address, is_open.then_some(probe)).await;
         }
     }
 
@@ -196,7 +382,111 @@
         if self.is_partitioned() {
             return Some(Verdict::Unclear);
         }
-        Some(self.silence.lock().ok()?.judge(self.now(), address, probed))
+        Some(self.silence.lock().ok()?.judge(address, probed))
+    }
+
+    /// Follows a silent server until it is known what became of it. `probe` is the one that it owes an
+    /// answer to.
+    async fn follow(self: &Arc<Self>, address: &str, probe: Option<Probe>) {
+        let started = Instant::now();
+        let id = self.fleet.lock().ok().and_then(|fleet| {
+            let server = fleet.iter().find(|server| server.listed.address == address);
+            server.map(|server| server.listed.id.clone())
+        });
+        let id = id.unwrap_or_default();
+        let losses = self.begin_silence(address, &id);
+        let fate = self.await_fate(address, &id, probe).await;
+        self.metrics.silence(match fate {
+            Fate::Silent | Fate::Unknown => "unknown",
+            Fate::GoesOn => "goes on",
+            Fate::Ended => "ended",
+            Fate::Unlisted => "unlisted",
+        });
+        let age = started.elapsed();
+        let ms = millis(age);
+        let requests = losses.len();
+        tracing::warn!(address, server = id, ?fate, requests, ms, "silence of a server ended");
+        self.end_silence(address, &id, fate, &losses, age);
+    }
+
+    /// Records that a server is silent: it is sent nothing new, requests that may be repeated can leave
+    /// it, and the content of all that it has is under suspicion. Returns these requests.
+    fn begin_silence(&self, address: &str, id: &str) -> Vec<Loss> {
+        let (now, peer) = (self.now(), self.pool.peer(address));
+        if let Ok(mut fleet) = self.fleet.lock() {
+            fleet.set_silent(id, true);
+        }
+        peer.silent_at.store(now, Ordering::Relaxed);
+        let heard_at = peer.heard_at();
+        let pending = peer.requests_since(now).into_iter().map(|pending| Loss {
+            request: pending.request.clone(),
+            content: pending.subject.content(),
+            server: pending.server.clone(),
+            address: address.to_owned(),
+            is_before_first_event: pending.is_before_first_event.load(Ordering::Relaxed),
+            alive_at: heard_at,
+        });
+        let doubts = self.take_doubts(address).into_iter().map(|doubt| doubt.loss);
+        let losses: Vec<Loss> = pending.chain(doubts).collect();
+        if let Ok(mut quarantine) = self.member.quarantine.lock() {
+            let crash = |loss: &Loss| {
+                let end = quarantine.end_of(&loss.server, loss.alive_at);
+                Crash::new(loss.content, end, loss.is_before_first_event)
+            };
+            let crashes: Vec<Crash> = losses.iter().map(crash).collect();
+            for content in quarantine.suspect(now, crashes) {
+                tracing::warn!(
+                    %content,
+                    server = id,
+                    "content held, because servers that have it are silent"
+                );
+            }
+        }
+        self.member.heartbeat_trigger.notify_one();
+        peer.fall_silent();
+        losses
+    }
+
+    async fn await_fate(self: &Arc<Self>, address: &str, id: &str, probe: Option<Probe>) -> Fate {
+        let peer = self.pool.peer(address);
+        let silent_at = peer.silent_at.load(Ordering::Relaxed);
+        let mut vigil = Vigil::new(probe);
+        loop {
+            vigil.check(|| self.begin_probe(address)).await;
+            let trace = &mut vigil.trace;
+            trace.has_gone_on |= !peer.is_silent();
+            trace.open_requests = peer.requests_since(silent_at).len();
+            trace.is_listed = self.fleet.lock().is_ok_and(|fleet| {
+                fleet.get(id).is_some_and(|server| server.listed.address == address)
+            });
+            let fate = trace.fate();
+            if fate != Fate::Silent {
+                return fate;
+            }
+        }
+    }
+
+    /// Ends the silence of a server. Only the requests of one that has ended are lost.
+    fn end_silence(&self, address: &str, id: &str, fate: Fate, losses: &[Loss], age: Duration) {
+        self.pool.peer(address).silent_at.store(0, Ordering::Relaxed);
+        if let Ok(mut silence) = self.silence.lock() {
+            silence.resolve(address);
+        }
+        if let Ok(mut fleet) = self.fleet.lock() {
+            fleet.set_silent(id, false);
+        }
+        if let Ok(mut quarantine) = self.member.quarantine.lock() {
+            let end = |loss: &Loss| quarantine.end_of(&loss.server, loss.alive_at);
+            let ends: Set<u64> = losses.iter().map(end).collect();
+            ends.into_iter().for_each(|end| quarantine.clear(end));
+        }
+        if matches!(fate, Fate::Ended | Fate::Unlisted) {
+            let age_ms = millis(age).min(MAX_END_AGE_MS);
+            losses.iter().for_each(|loss| self.record_silent_loss(loss, age_ms));
+        }
+        if fate == Fate::Ended {
+            self.pool.close_ended(address);
+        }
     }
 
     /// Removes the requests that were given up while the server was silent, and returns them.
@@ -230,12 +520,18 @@
 
     /// Whether the server answers on a new connection, or refuses or closes it.
     async fn lives(&self, address: &str) -> bool {
+        let reaction = tokio::time::timeout(PROBE_TIMEOUT, self.begin_probe(address)).await;
+        reaction.is_ok_and(|reaction| reaction != Reaction::Unreachable)
+    }
+
+    /// Begins a probe: a request on a new connection that whichever server reads it refuses at once.
+    fn begin_probe(&self, address: &str) -> Probe {
         let headers = self.adapter.request_headers(
             HeaderMap::new(),
             &Dispatch {
                 id: "",
                 server: NO_SERVER,
-                remaining: Duration::from_millis(PROBE_TIMEOUT_MS),
+                remaining: PROBE_TIMEOUT,
                 identity: Identity::Unchecked,
             },
         );
@@ -244,22 +540,22 @@
         if let Ok(host) = HeaderValue::from_str(address) {
             request.headers_mut().insert(header::HOST, host);
         }
-        let answered = async {
-            match self.pool.open(address).await {
-                // Whatever the response is, a living server sent it.
-                Ok(mut connection) => {
-                    drop(connection.send(request).await);
-                    true
-                }
-                Err(error) => !matches!(
-                    error.kind(),
+        let opening = self.pool.opening(address);
+        Box::pin(async move {
+            match opening.await {
+                Ok(mut connection) => match connection.send(request).await {
+                    Ok(_) => Reaction::Answered,
+                    Err(_) => Reaction::Closed,
+                },
+                Err(error) => match error.kind() {
                     io::ErrorKind::TimedOut
-                        | io::ErrorKind::HostUnreachable
-                        | io::ErrorKind::NetworkUnreachable
-                ),
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable => Reaction::Unreachable,
+                    io::ErrorKind::ConnectionRefused => Reaction::Refused,
+                    io::ErrorKind::ConnectionReset => Reaction::Closed,
+                    _ => Reaction::Untried,
+                },
             }
-        };
-        let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
-        tokio::time::timeout(timeout, answered).await.unwrap_or(false)
+        })
     }
 }
--- a/crates/transport/src/member/beats.rs
+++ b/crates/transport/src/member/beats.rs
@@ -118,7 +118,9 @@
     let settings = &member.settings;
     let is_leaving = member.is_leaving.load(Ordering::Relaxed);
     let now = member.clock.now();
-    let quarantine = member.quarantine.lock().map(|q| q.report(now)).unwrap_or_default();
+    let quarantine = member.quarantine.lock();
+    let (quarantine, suspicions) =
+        quarantine.map(|q| (q.report(now), q.own_suspicions(now))).unwrap_or_default();
     let usage = member.usage_source.get().map(|usage| usage()).unwrap_or_default();
     Heartbeat {
         name: settings.name.clone(),
@@ -141,6 +143,7 @@
         fetches_registry: true,
         usage: member.usage.report(now),
         paces: usage.paces,
+        suspicions,
     }
 }
 
@@ -200,6 +203,7 @@
         });
     }
     member.extend_quarantine(from, &reply.quarantine);
+    member.extend_suspicions(&reply.suspicions);
     // The sums are as old as the heartbeat: the reply may have arrived while this instance did not run.
     let age = millis(sent_at.elapsed());
     member.usage.learn(member.clock.now().saturating_sub(age), from, reply.usage);
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -20,7 +20,7 @@
 use coordination::membership::{self, Candidate};
 use coordination::offers::Offers;
 use coordination::placement::Listing;
-use coordination::quarantine::{Quarantine, Report};
+use coordination::quarantine::{Crash, Quarantine, Report};
 use coordination::routing;
 use protocol::presence::{Heartbeat, Reply, Role, Roster, Update};
 use protocol::wire::{Request, Response};
@@ -426,7 +426,9 @@
             false => (None, None, Vec::new()),
         };
         self.extend_quarantine(&heartbeat.name, &heartbeat.quarantine);
+        self.extend_suspicions(&heartbeat.suspicions);
         let quarantine = if is_relayed { self.relay_quarantine() } else { Report::default() };
+        let suspicions = if is_relayed { self.relay_suspicions() } else { Vec::new() };
         let reported = heartbeat.usage.clone();
         let Ok(mut presence) = self.presence.lock() else {
             return Response::Unknown;
@@ -492,6 +494,7 @@
             confirmation: self.confirmation(),
             usage,
             paces: paced.map(|list| presence.paces(&list, now)).unwrap_or_default(),
+            suspicions,
         };
         Response::HeartbeatReply(Box::new(reply))
     }
@@ -505,6 +508,20 @@
         }
     }
 
+    /// Adds the suspicions of another instance, and drops those that lapsed.
+    pub(crate) fn extend_suspicions(&self, reported: &[Crash]) {
+        let now = self.clock.now();
+        if let Ok(mut quarantine) = self.quarantine.lock() {
+            quarantine.extend_suspicions(now, reported);
+        }
+    }
+
+    /// Returns the suspicions that this instance has or knows.
+    fn relay_suspicions(&self) -> Vec<Crash> {
+        let now = self.clock.now();
+        self.quarantine.lock().map(|quarantine| quarantine.suspicions(now)).unwrap_or_default()
+    }
+
     /// Returns what this instance knows of content that crashes backend servers.
     fn relay_quarantine(&self) -> Report {
         let now = self.clock.now();
