fix(gateway): keep connections of servers that pause with a body under way

Cause: the TCP user timeout of 2 s on connections to backend servers and other entries also runs while the receiver has no room for more, however often its machine answers. A body that exceeds the buffers, on its way to a server or entry that pauses for 2.5 s, was broken off, and its caller got 502 before the deadline. Change: the timeout is 30 s. Each request ends at its deadline, and closes its connection then; the timeout ends what is left of it. Measured: `large_body_to_a_server_that_pauses_for_long_is_broken_off` and `large_body_that_is_forwarded_to_an_entry_that_freezes_for_long_is_broken_off` failed in 3 of 3 runs before, with 502 "connection error", and in none of 3 after. In one run of all tests of the platform (4 at a time) 12 failed: seven of `pausing_servers`, which end servers by silence, and five of `pausing_instances`, which fail without this change as well. Conclusion: requests on a machine that is lost without a reset wait for their deadline, or for what else recognises that.

--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -44,9 +44,10 @@
 /// Upper bound of the idle time, whatever timeout a server announces.
 const MAX_IDLE: Duration = Duration::from_secs(8);
 
-/// TCP user timeout: time for sent data to be acknowledged before the kernel closes the
-/// connection. It detects servers that become unreachable without closing the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// TCP user timeout: time for sent data to be acknowledged before the kernel closes the connection.
+/// It ends connections that nothing uses any more, and exceeds the time that callers wait: the kernel
+/// also counts the time in which a server that pauses has no room for the rest of a body.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Maximum read buffer of a connection, in bytes: several events, or a short response.
 const BUFFER_BYTES: usize = 16 * 1024;
