fix(member): don't refuse to retire an instance that has yet to report

Cause: a control instance that has just started knows the other instances from their heartbeats only. Asked to retire one that pauses, or whose first heartbeat is under way, it answered 404 as for an unknown name, which ends the operator's order after some attempts. Conclusion: an instance without a replica that pauses is still unknown once all members have reported. One that pauses for longer than 600 ms doesn't count as one that would remain, so another order may be refused with 409; not changed.

--- a/crates/transport/src/member/operators.rs
+++ b/crates/transport/src/member/operators.rs
@@ -4,7 +4,8 @@
 
 use crate::journal::Unreachable;
 use crate::member::node::Member;
-use crate::member::replica::CONTROL;
+use crate::member::replica::{CONTROL, PROGRAMS};
+use coordination::Millis;
 use protocol::presence::Role;
 use protocol::wire::{Request, Response};
 use state::machine;
@@ -14,6 +15,10 @@
 /// Timeout for the control journal, whichever instance leads it. Operators wait for one second.
 const TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time since the start of a process after which it has heard of all instances that run, also of
+/// those that paused for some seconds, in milliseconds.
+const HEARING_MS: Millis = 5_000;
+
 /// State of the retirement of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Retirement {
@@ -75,7 +80,13 @@
         {
             let presence = self.presence.lock().map_err(|_| Unreachable)?;
             let Some(address) = presence.address(Role::Programs, name) else {
-                return Ok(RetireReply::Unknown);
+                // The name may be that of an instance with a replica that has yet to send a heartbeat.
+                let members = registry.initial_members.get(&PROGRAMS);
+                let has_heard = members.is_none_or(|members| {
+                    members.iter().all(|member| presence.knows(Role::Programs, &member.address))
+                });
+                let is_unknown = has_heard || self.clock.now() >= HEARING_MS;
+                return if is_unknown { Ok(RetireReply::Unknown) } else { Err(Unreachable) };
             };
             let candidates = presence.candidates(Role::Programs, &registry);
             let is_other = |c: &&_| -> bool {
--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -119,6 +119,12 @@
         Some(&instance.heartbeat.address)
     }
 
+    /// Whether an instance of the role at this peer address ever sent a heartbeat.
+    pub(crate) fn knows(&self, role: Role, address: &str) -> bool {
+        let mut heartbeats = self.instances.values().map(|instance| &instance.heartbeat);
+        heartbeats.any(|heartbeat| heartbeat.role == role && heartbeat.address == address)
+    }
+
     /// Returns the peer addresses of the present instances of a role, sorted.
     pub(crate) fn addresses(&self, role: Role) -> Vec<String> {
         let mut all: Vec<String> =
