fix(gateway): a request keeps its attempt until another one is answered

Cause: a call that may be repeated got 502 while its server would have answered: on silence of 1.2 latency objectives, or when the entry thought that it reaches no server, the attempt was closed, and only then did it turn out whether another server or entry takes the call. Ruled out: calls that must not be repeated and streams, which stay. Change: the attempts that a request has left go on beside the next one. The first answer is relayed, the rest is closed; if nothing else takes the request, they are waited for until its deadline. Conclusion: leaving a server is no longer a bet that another one answers.

--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -54,15 +54,16 @@
         attempt
     }
 
-    /// Registers `request` among those of the server, on the connection of the attempt.
-    pub(super) fn register(&mut self, request: &str) {
-        let (Some(connection), Some(subject)) = (&self.connection, &self.subject) else {
+    /// Registers `request`, which is about to be sent on the connection, among those of the server.
+    pub(super) fn register(&mut self, request: &str, connection: &Connection) {
+        let Some(subject) = &self.subject else {
             return;
         };
         self.registration = Some(connection.peer.register(Pending {
             request: request.to_owned(),
             subject: subject.clone(),
             server: self.server.id.clone(),
+            opened_at: connection.opened_at,
             sent_at: self.entry.now(),
             is_before_first_event: AtomicBool::new(self.is_before_stream),
         }));
@@ -111,7 +112,7 @@
             server: self.server.id.clone(),
             address: self.server.address.clone(),
             is_before_first_event: self.is_before_stream,
-            alive_at: self.connection.as_ref()?.opened_at,
+            alive_at: self.registration.as_ref()?.pending.opened_at,
         })
     }
 
@@ -135,10 +136,9 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         if self.outcome == Outcome::Cancelled
-            && let Some(peer) = self.connection.as_ref().map(|connection| &connection.peer)
+            && let Some(peer) = self.registration.as_ref().map(|registration| &registration.peer)
             // The requests of a silent server are known.
             && !peer.is_silent()
-            && self.subject.is_some()
             && self.entry.is_quiet(&self.server.address)
             && let Some(loss) = self.loss()
         {
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -8,6 +8,7 @@
 use crate::clock::millis;
 use crate::connections::{Busy, Connection};
 use crate::gateway::attempt::Attempt;
+use crate::gateway::awaited::Earlier;
 use crate::gateway::dialect::{Metadata, Refusal};
 use crate::gateway::entry::Entry;
 use crate::gateway::events::Parser;
@@ -314,9 +315,20 @@
             turn: turn.as_ref(),
             deadline,
         };
-        let Some((response, attempt)) = self.dispatch(&outbound).await? else {
-            return self.forward_begun(metadata, &route, &head, &body, deadline, turn).await;
+        let mut earlier = Earlier::default();
+        let answer = match self.dispatch(&outbound, &mut earlier).await? {
+            Some(answer) => answer,
+            None => {
+                let turn = turn.as_mut();
+                let forwarding = self.forward_begun(metadata, &route, &head, &body, deadline, turn);
+                match earlier.beside(forwarding).await {
+                    Ok(Ok(answered)) => return Ok(answered),
+                    Ok(Err(error)) => earlier.answer_until(deadline).await.ok_or(error)?,
+                    Err(answer) => answer,
+                }
+            }
         };
+        let (response, attempt) = answer;
         if let Some(turn) = &mut turn {
             turn.server = Some(attempt.server.id.clone());
         }
@@ -374,7 +386,7 @@
         head: &request::Parts,
         body: &Bytes,
         deadline: Instant,
-        mut turn: Option<Turn>,
+        mut turn: Option<&mut Turn>,
     ) -> Result<Answered, Error> {
         if let Some(turn) = &mut turn {
             turn.hand_over();
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! response ends. An [`Adapter`] translates the headers of the platform.
 
 mod attempt;
+mod awaited;
 mod connector;
 mod dialect;
 mod entry;
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::millis;
 use crate::gateway::attempt::Attempt;
+use crate::gateway::awaited::{Answer, Awaited, Earlier};
 use crate::gateway::dialect::{Dispatch, Metadata, Refusal, Verdict};
 use crate::gateway::flow::{Error, Handler, RETRY_AFTER};
 use crate::gateway::headers;
@@ -109,7 +110,9 @@
 
 /// Result of one attempt.
 enum AttemptResult {
-    Answered(Box<(Response<Incoming>, Attempt)>),
+    Answered(Box<Answer>),
+    /// The request may be sent elsewhere while this attempt goes on.
+    Left(Box<Awaited>),
     /// The server is unreachable or replaced; the request was not executed.
     Unavailable,
     /// The server has no free slot; the request was not executed.
@@ -124,26 +127,29 @@
 
 impl Handler {
     /// Sends the request to one backend server after another until one responds; `None` if it
-    /// should be forwarded to another entry instead.
+    /// should be forwarded to another entry instead. Attempts that it has left go on meanwhile.
     pub(super) async fn dispatch(
         &mut self,
         outbound: &Outbound<'_>,
-    ) -> Result<Option<(Response<Incoming>, Attempt)>, Error> {
+        earlier: &mut Earlier,
+    ) -> Result<Option<Answer>, Error> {
         let mut attempted: Vec<String> = Vec::new();
         let mut skipped = 0;
         loop {
-            self.check_quarantine(outbound)?;
-            let Some(attempt) = self.choose_server(outbound, &attempted).await? else {
-                return Ok(None);
+            let is_alone = earlier.is_empty();
+            let step = earlier.beside(self.try_next(outbound, &mut attempted)).await;
+            let result = match step {
+                Ok(Ok(Some(result))) => result,
+                Ok(Ok(None)) => return Ok(None),
+                Ok(Err(error)) => {
+                    return earlier.answer_until(outbound.deadline).await.ok_or(error).map(Some);
+                }
+                Err(answer) => return Ok(Some(answer)),
             };
-            // Waiting for a server takes time, in which the content may be quarantined.
-            self.check_quarantine(outbound)?;
-            attempted.push(attempt.server.id.clone());
-            let result = self.attempt(outbound, attempt, &attempted).await;
-            if matches!(result, AttemptResult::Unavailable | AttemptResult::Full) {
+            if matches!(result, AttemptResult::Unavailable | AttemptResult::Full) && is_alone {
                 self.set_permit_used(false);
             }
-            match result {
+            let ended = match result {
                 AttemptResult::Answered(answered) => {
                     if matches!(self.versions, Versions::Only(_)) {
                         self.entry.metrics.resumption("answered");
@@ -155,37 +161,80 @@
                 {
                     return Ok(None);
                 }
-                AttemptResult::Unavailable if skipped < MAX_SKIPPED => skipped += 1,
+                AttemptResult::Unavailable if skipped < MAX_SKIPPED => {
+                    skipped += 1;
+                    Ok(())
+                }
                 AttemptResult::Unavailable => {
-                    return Err(self.refuse("no backend server could be reached"));
+                    Err(self.refuse("no backend server could be reached"))
                 }
                 AttemptResult::Full => {
                     self.progress.attempts += 1;
-                    if self.progress.attempts >= outbound.route.max_attempts {
-                        return Err(self.refuse("the backend server has no free slot"));
+                    match self.progress.attempts < outbound.route.max_attempts {
+                        true => Ok(()),
+                        false => Err(self.refuse("the backend server has no free slot")),
                     }
                 }
-                AttemptResult::NoResponse(detail) => {
-                    self.may_have_executed = true;
-                    self.progress.attempts += 1;
-                    if self.should_forward_after_attempts(outbound.route) {
+                AttemptResult::Left(awaited) => {
+                    let is_stream = outbound.route.is_stream;
+                    earlier.push(*awaited, &self.entry, &outbound.metadata.id, is_stream);
+                    if self.count_attempt(outbound) {
                         return Ok(None);
                     }
-                    let may_repeat = outbound.route.retry == Retry::Always;
-                    if !may_repeat || self.progress.attempts >= outbound.route.max_attempts {
-                        return Err(Refusal::new(Kind::Failed, detail).into());
+                    self.check_attempts(outbound, "the backend server did not respond".to_owned())
+                }
+                AttemptResult::NoResponse(detail) => {
+                    if self.count_attempt(outbound) {
+                        return Ok(None);
                     }
-                    self.renew_permit()?;
+                    self.check_attempts(outbound, detail)
                 }
-                AttemptResult::Refused(refusal) => return Err(refusal.into()),
+                AttemptResult::Refused(refusal) => Err(refusal.into()),
                 AttemptResult::DeadlineExceeded => {
                     let detail = "the backend server did not respond before the deadline";
-                    return Err(Refusal::new(Kind::Unknown, detail).into());
+                    Err(Refusal::new(Kind::Unknown, detail).into())
                 }
+            };
+            if let Err(error) = ended {
+                return earlier.answer_until(outbound.deadline).await.ok_or(error).map(Some);
             }
         }
     }
 
+    /// Chooses the next backend server and makes an attempt there; `None` if the request should be
+    /// forwarded to another entry instead.
+    async fn try_next(
+        &mut self,
+        outbound: &Outbound<'_>,
+        attempted: &mut Vec<String>,
+    ) -> Result<Option<AttemptResult>, Error> {
+        self.check_quarantine(outbound)?;
+        let Some(attempt) = self.choose_server(outbound, attempted).await? else {
+            return Ok(None);
+        };
+        // Waiting for a server takes time, in which the content may be quarantined.
+        self.check_quarantine(outbound)?;
+        attempted.push(attempt.server.id.clone());
+        Ok(Some(self.attempt(outbound, attempt, attempted).await))
+    }
+
+    /// Counts an attempt that may have been executed; whether the request should be forwarded now.
+    fn count_attempt(&mut self, outbound: &Outbound<'_>) -> bool {
+        self.may_have_executed = true;
+        self.progress.attempts += 1;
+        self.should_forward_after_attempts(outbound.route)
+    }
+
+    /// Checks that the request may be sent once more after an attempt that may have been executed.
+    fn check_attempts(&mut self, outbound: &Outbound<'_>, detail: String) -> Result<(), Error> {
+        let may_repeat = outbound.route.retry == Retry::Always;
+        if !may_repeat || self.progress.attempts >= outbound.route.max_attempts {
+            return Err(Refusal::new(Kind::Failed, detail).into());
+        }
+        self.renew_permit()?;
+        Ok(())
+    }
+
     /// Refuses content that crashes backend servers.
     fn check_quarantine(&self, outbound: &Outbound<'_>) -> Result<(), Error> {
         let quarantine = &self.entry.member.quarantine;
@@ -368,7 +417,6 @@
                 attempt.end(Outcome::Failed);
                 return AttemptResult::Unavailable;
             };
-            let connection = attempt.connection.insert(connection);
             let remaining = outbound.deadline.saturating_duration_since(Instant::now());
             if remaining < MIN_DISPATCH_TIME {
                 return AttemptResult::Unavailable;
@@ -405,12 +453,13 @@
             self.is_sent.store(true, Ordering::Relaxed);
             self.set_permit_used(true);
             let peer = connection.peer.clone();
-            attempt.register(&outbound.metadata.id);
-            let Some(connection) = attempt.connection.as_mut() else {
-                return AttemptResult::Unavailable;
-            };
-            let sent = connection.send(request);
-            let sent = self.wait(outbound, sent, remaining, attempted, &peer).await;
+            attempt.register(&outbound.metadata.id, &connection);
+            let mut awaited = Awaited::new(attempt, connection, request);
+            let sent = self.wait(outbound, awaited.response(), remaining, attempted, &peer).await;
+            if matches!(sent, Err(Timeout::Attempt | Timeout::Partition | Timeout::Silence)) {
+                return AttemptResult::Left(Box::new(awaited));
+            }
+            attempt = awaited.attempt;
             let response = match sent {
                 Ok(Ok(response)) => response,
                 Ok(Err(SendError::NotSent)) if !is_new => continue,
@@ -429,18 +478,7 @@
                     }
                     return AttemptResult::NoResponse(detail);
                 }
-                Err(Timeout::Attempt) => {
-                    return AttemptResult::NoResponse(
-                        "the backend server did not respond within the attempt timeout".to_owned(),
-                    );
-                }
-                Err(Timeout::Partition) => {
-                    return AttemptResult::NoResponse("no backend server is reached".to_owned());
-                }
-                Err(Timeout::Silence) => {
-                    return AttemptResult::NoResponse("the backend server is silent".to_owned());
-                }
-                Err(Timeout::Request) => return AttemptResult::DeadlineExceeded,
+                Err(_) => return AttemptResult::DeadlineExceeded,
             };
             return self.classify(response, attempt, &dispatch).await;
         }
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -69,6 +69,8 @@
     pub(super) subject: Arc<Subject>,
     /// Id of the server.
     pub(super) server: String,
+    /// Time at which its connection was opened.
+    pub(super) opened_at: Millis,
     pub(super) sent_at: Millis,
     /// Whether it is for a stream of which no event was received.
     pub(super) is_before_first_event: AtomicBool,
@@ -76,7 +78,7 @@
 
 /// Entry of a request among those that its server has, until it is dropped.
 pub(super) struct Registration {
-    peer: Arc<Peer>,
+    pub(super) peer: Arc<Peer>,
     number: u64,
     pub(super) pending: Arc<Pending>,
 }
