fix(gateway): the end of a server that was about to stop counts against no content

Cause: a server that is listed as draining and ends without closing its connections counted against the contents that it had; two such ends in a release refuse sound content for ten minutes. Beside that, a suspicion could outlive its silence: the number of the end was worked out anew, and another entry's report in between may change it. Change: Trace::is_evidence tells whether an end counts; the suspected ends are kept from the begin of the silence to its end. Measured: cargo test -p buckthornshelf-coordination -- silence quarantine: 32 passed; planned_end_of_a_silent_server_counts_against_its_content is new and doesn't compile against the code before. Conclusion: planned ends and changed numbers leave nothing behind.

--- a/crates/coordination/src/placement/server.rs
+++ b/crates/coordination/src/placement/server.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether it is about to stop, as the list shows or it said itself. It is sent nothing new.
-    pub(super) fn is_leaving(&self) -> bool {
+    pub fn is_leaving(&self) -> bool {
         self.listed.is_draining || self.announced_leaving
     }
 
--- a/crates/coordination/src/silence.rs
+++ b/crates/coordination/src/silence.rs
@@ -103,6 +103,8 @@
     pub is_refusing: bool,
     /// Whether its id and address are listed.
     pub is_listed: bool,
+    /// Whether it was about to stop when it was last listed.
+    pub is_leaving: bool,
     /// Number of checks since it answered on a later connection; `None` if it didn't.
     pub checks_since_answer: Option<u32>,
     /// The probe from before.
@@ -127,6 +129,12 @@
 }
 
 impl Trace {
+    /// Whether the end of the server counts against the content that it had, given its fate. One that
+    /// was about to stop has ended as planned.
+    pub fn is_evidence(&self, fate: Fate) -> bool {
+        matches!(fate, Fate::Ended | Fate::Unlisted) && !self.is_leaving
+    }
+
     /// Returns what became of the server.
     pub fn fate(&self) -> Fate {
         if self.has_gone_on {
--- a/crates/coordination/tests/silence.rs
+++ b/crates/coordination/tests/silence.rs
@@ -105,6 +105,7 @@
     has_gone_on: false,
     is_refusing: false,
     is_listed: true,
+    is_leaving: false,
     checks_since_answer: None,
     probe: Owed::Open,
     open_requests: 1,
@@ -154,3 +155,14 @@
     let closed = Trace { probe: Owed::Closed, open_requests: 0, ..forgotten };
     assert_eq!(closed.fate(), Fate::Ended);
 }
+
+#[test]
+fn planned_end_of_a_silent_server_counts_against_its_content() {
+    for trace in [Trace { is_refusing: true, ..TRACE }, Trace { is_listed: false, ..TRACE }] {
+        assert!(trace.is_evidence(trace.fate()));
+        let leaving = Trace { is_leaving: true, ..trace };
+        assert_eq!(leaving.fate(), trace.fate());
+        assert!(!leaving.is_evidence(leaving.fate()));
+    }
+    assert!(!TRACE.is_evidence(Fate::GoesOn) && !TRACE.is_evidence(Fate::Unknown));
+}
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -12,7 +12,7 @@
 use crate::gateway::loss::{Loss, Subject};
 use bytes::Bytes;
 use coordination::Millis;
-use coordination::placement::Listing;
+use coordination::placement::{Listing, Server};
 use coordination::quarantine::Crash;
 use coordination::silence::{Fate, Observed, Owed, PROBE_TIMEOUT_MS, Probed, Trace, Verdict};
 use futures_util::future::join_all;
@@ -396,24 +396,39 @@
             server.map(|server| server.listed.id.clone())
         });
         let id = id.unwrap_or_default();
-        let losses = self.begin_silence(address, &id);
-        let fate = self.await_fate(address, &id, probe).await;
+        let (losses, ends) = self.begin_silence(address, &id);
+        let (fate, is_evidence) = self.await_fate(address, &id, probe).await;
         self.metrics.silence(match fate {
             Fate::Silent | Fate::Unknown => "unknown",
             Fate::GoesOn => "goes on",
             Fate::Ended => "ended",
             Fate::Unlisted => "unlisted",
         });
-        let age = started.elapsed();
-        let ms = millis(age);
+        let ms = millis(started.elapsed());
         let requests = losses.len();
-        tracing::warn!(address, server = id, ?fate, requests, ms, "silence of a server ended");
-        self.end_silence(address, &id, fate, &losses, age);
+        tracing::warn!(
+            address,
+            server = id,
+            ?fate,
+            is_evidence,
+            requests,
+            ms,
+            "silence of a server ended"
+        );
+        self.end_silence(address, &id, &ends);
+        if is_evidence {
+            let age_ms = ms.min(MAX_END_AGE_MS);
+            losses.iter().for_each(|loss| self.record_silent_loss(loss, age_ms));
+        }
+        if fate == Fate::Ended {
+            self.pool.close_ended(address);
+        }
     }
 
     /// Records that a server is silent: it is sent nothing new, requests that may be repeated can leave
-    /// it, and the content of all that it has is under suspicion. Returns these requests.
-    fn begin_silence(&self, address: &str, id: &str) -> Vec<Loss> {
+    /// it, and the content of all that it has is under suspicion. Returns these requests, and the ends of
+    /// the server that are suspected.
+    fn begin_silence(&self, address: &str, id: &str) -> (Vec<Loss>, Set<u64>) {
         let (now, peer) = (self.now(), self.pool.peer(address));
         if let Ok(mut fleet) = self.fleet.lock() {
             fleet.set_silent(id, true);
@@ -430,9 +445,11 @@
         });
         let doubts = self.take_doubts(address).into_iter().map(|doubt| doubt.loss);
         let losses: Vec<Loss> = pending.chain(doubts).collect();
+        let mut ends = Set::default();
         if let Ok(mut quarantine) = self.member.quarantine.lock() {
             let crash = |loss: &Loss| {
                 let end = quarantine.end_of(&loss.server, loss.alive_at);
+                ends.insert(end);
                 Crash::new(loss.content, end, loss.is_before_first_event)
             };
             let crashes: Vec<Crash> = losses.iter().map(crash).collect();
@@ -446,10 +463,17 @@
         }
         self.member.heartbeat_trigger.notify_one();
         peer.fall_silent();
-        losses
+        (losses, ends)
     }
 
-    async fn await_fate(self: &Arc<Self>, address: &str, id: &str, probe: Option<Probe>) -> Fate {
+    /// Waits until it is known what became of a silent server, and whether that counts against the
+    /// content that it had.
+    async fn await_fate(
+        self: &Arc<Self>,
+        address: &str,
+        id: &str,
+        probe: Option<Probe>,
+    ) -> (Fate, bool) {
         let peer = self.pool.peer(address);
         let silent_at = peer.silent_at.load(Ordering::Relaxed);
         let mut vigil = Vigil::new(probe);
@@ -458,18 +482,20 @@
             let trace = &mut vigil.trace;
             trace.has_gone_on |= !peer.is_silent();
             trace.open_requests = peer.requests_since(silent_at).len();
-            trace.is_listed = self.fleet.lock().is_ok_and(|fleet| {
-                fleet.get(id).is_some_and(|server| server.listed.address == address)
-            });
+            if let Ok(fleet) = self.fleet.lock() {
+                let server = fleet.get(id).filter(|server| server.listed.address == address);
+                trace.is_listed = server.is_some();
+                trace.is_leaving |= server.is_some_and(Server::is_leaving);
+            }
             let fate = trace.fate();
             if fate != Fate::Silent {
-                return fate;
+                return (fate, trace.is_evidence(fate));
             }
         }
     }
 
-    /// Ends the silence of a server. Only the requests of one that has ended are lost.
-    fn end_silence(&self, address: &str, id: &str, fate: Fate, losses: &[Loss], age: Duration) {
+    /// Ends the silence of a server, and the suspicions that it was the cause of.
+    fn end_silence(&self, address: &str, id: &str, ends: &Set<u64>) {
         self.pool.peer(address).silent_at.store(0, Ordering::Relaxed);
         if let Ok(mut silence) = self.silence.lock() {
             silence.resolve(address);
@@ -478,16 +504,7 @@
             fleet.set_silent(id, false);
         }
         if let Ok(mut quarantine) = self.member.quarantine.lock() {
-            let end = |loss: &Loss| quarantine.end_of(&loss.server, loss.alive_at);
-            let ends: Set<u64> = losses.iter().map(end).collect();
-            ends.into_iter().for_each(|end| quarantine.clear(end));
-        }
-        if matches!(fate, Fate::Ended | Fate::Unlisted) {
-            let age_ms = millis(age).min(MAX_END_AGE_MS);
-            losses.iter().for_each(|loss| self.record_silent_loss(loss, age_ms));
-        }
-        if fate == Fate::Ended {
-            self.pool.close_ended(address);
+            ends.iter().for_each(|end| quarantine.clear(*end));
         }
     }
 
