--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod content;
 pub mod crossing;
 pub mod entry;
+pub mod expiry;
 pub mod lease;
 pub mod limit;
 pub mod membership;
--- a/crates/coordination/tests/main.rs
+++ b/crates/coordination/tests/main.rs
@@ -8,6 +8,7 @@
 mod consensus;
 mod crossing;
 mod entry;
+mod expiry;
 mod faults;
 mod lease;
 mod limit;
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -353,6 +353,8 @@
     check("turn-begin", &turn::Command::Begin(begin()));
     check("turn-end", &turn::Command::End(end));
     check("turn-assign", &turn::Command::Assign(assign));
+    let expiry = turn::Command::End(End { now_ms: 1_100_000, ..End::default() });
+    check("turn-expiry", &expiry);
     check("turn-query", &turn::Query::Chain("t2".into()));
     let assignment = Assignment { origin, revision: 2 };
     let replies = [
@@ -417,3 +419,14 @@
     assert_eq!(hex(&restored.save().unwrap()), hex(&example("turns")));
     assert_eq!(restored.dump(), turns.dump());
 }
+
+/// The command by which a leader moves the time on is the one of the example, which builds that know
+/// of no such command decode as the end of a turn that nobody began.
+#[test]
+fn command_that_moves_the_time_on_is_not_understood_by_another_build() {
+    let mut turns = Turns::new(Box::new(Memory::default()));
+    turns.load(&example("turns")).unwrap();
+    assert_eq!(hex(&turns.expiry(1_100_000).unwrap()), hex(&example("turn-expiry")));
+    turns.apply(&example("turn-expiry")).unwrap();
+    assert_eq!(turns.expiry(1_100_000), None);
+}
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -92,6 +92,19 @@
         None
     }
 
+    /// Time of the state, in milliseconds since the Unix epoch: the latest that an applied command
+    /// named. `None` for a state in which nothing expires.
+    fn time_ms(&self) -> Option<u64> {
+        None
+    }
+
+    /// Returns the command that moves the time of the state on to `time_ms` and changes nothing else;
+    /// `None` if applying it would remove nothing that has expired. Only the leader asks, while no
+    /// other command moves the time on.
+    fn expiry(&self, _time_ms: u64) -> Option<Vec<u8>> {
+        None
+    }
+
     /// Answers the encoded query `data` from the applied state.
     ///
     /// # Errors
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -271,7 +271,7 @@
 
     fn remove_expired(&mut self) {
         let now_ms = self.now_ms;
-        if now_ms < self.last_expiry_ms + EXPIRY_INTERVAL_MS {
+        if !self.is_expiry_due(now_ms) {
             return;
         }
         self.last_expiry_ms = now_ms;
@@ -281,6 +281,11 @@
         self.streams.remove_expired(now_ms);
     }
 
+    /// Whether expired entries are removed at this time.
+    fn is_expiry_due(&self, now_ms: u64) -> bool {
+        now_ms >= self.last_expiry_ms + EXPIRY_INTERVAL_MS
+    }
+
     fn count_retained(&mut self) {
         self.retained_bytes = self.retained.values().map(|turn| turn.item.len).sum();
     }
@@ -351,6 +356,20 @@
         Some(if continues { Class::Continue } else { Class::Begin })
     }
 
+    fn time_ms(&self) -> Option<u64> {
+        Some(self.now_ms)
+    }
+
+    fn expiry(&self, time_ms: u64) -> Option<Vec<u8>> {
+        let has_expired = self.is_expiry_due(time_ms)
+            && (self.retained.values().any(|turn| turn.expires_ms <= time_ms)
+                || self.programs.values().any(|program| program.expires_ms <= time_ms)
+                || self.streams.has_expired(time_ms));
+        // Earlier builds know no command for this, but the end of a turn that nobody began.
+        let end = End { now_ms: time_ms, ..End::default() };
+        has_expired.then(|| machine::encode(&Command::End(end)).ok()).flatten()
+    }
+
     fn query(&self, data: &[u8]) -> Result<Vec<u8>, Storage> {
         let Query::Chain(id) = machine::decode(data)?;
         machine::encode(&self.chain(&id)?.map(ByteBuf::from))
--- a/crates/state/src/turn/stream.rs
+++ b/crates/state/src/turn/stream.rs
@@ -82,6 +82,11 @@
         self.0.retain(|_, stream| stream.expires_ms > now_ms);
     }
 
+    /// Whether an origin has expired.
+    pub(crate) fn has_expired(&self, now_ms: u64) -> bool {
+        self.0.values().any(|stream| stream.expires_ms <= now_ms)
+    }
+
     /// Number of streams.
     pub(crate) fn len(&self) -> usize {
         self.0.len()
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -128,6 +128,52 @@
     assert!(has_room(&turns, &begin("b", 1, 200_000)), "expired turns leave room");
 }
 
+#[test]
+fn full_room_is_freed_by_time_alone() {
+    let mut turns = turns().with_max_retained_bytes(10);
+    retain(&mut turns, "root", None, 1_000);
+    retain(&mut turns, "child", Some("root"), 2_000);
+    let next = state::machine::encode(&begin("b", 1, 3_000)).unwrap();
+    assert!(!turns.has_room(&next));
+    assert_eq!(turns.time_ms(), Some(2_000));
+    assert_eq!(turns.expiry(76_999), None, "the turns are retained for 60 s, and 15 s are added");
+    let command = turns.expiry(77_000).unwrap();
+    let mut copy = self::turns().with_max_retained_bytes(10);
+    util::transfer_state(&turns, &mut copy, 1_000);
+    for replica in [&mut turns, &mut copy] {
+        replica.apply(&command).unwrap();
+        assert!(replica.has_room(&next));
+        assert_eq!(replica.time_ms(), Some(77_000));
+        assert_eq!(replica.expiry(200_000), None, "nothing is left");
+    }
+    assert_eq!(turns.save().unwrap(), copy.save().unwrap(), "the replicas agree");
+}
+
+#[test]
+fn budgets_and_origins_of_streams_expire_by_time_alone() {
+    let mut turns = turns();
+    turns.execute(begin_stream("a", None, &["v1"], 1_000)).unwrap();
+    assert_eq!(turns.expiry(18_000), None);
+    let command = turns.expiry(19_000).unwrap();
+    turns.apply(&command).unwrap();
+    assert_eq!(turns.expiry(180_000), None);
+    let command = turns.expiry(181_000).unwrap();
+    turns.apply(&command).unwrap();
+    let empty = "programs 0, turns in progress 0, turns retained 0, origins of streams 0";
+    assert_eq!(turns.dump(), empty);
+}
+
+#[test]
+fn expiry_named_late_moves_no_time_back() {
+    let mut turns = turns();
+    retain(&mut turns, "root", None, 1_000);
+    let command = turns.expiry(100_000).unwrap();
+    retain(&mut turns, "other", None, 150_000);
+    turns.apply(&command).unwrap();
+    assert_eq!(turns.time_ms(), Some(150_000));
+    assert_eq!(turns.chain("other").unwrap().unwrap(), b"<other>");
+}
+
 #[test]
 fn a_clock_that_jumps_back_expires_nothing() {
     let mut turns = turns();
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -13,6 +13,7 @@
     Chunk, ChunkRequest, Entry, Id, Message, Meta, Payload, Ready, Refusal, Replacement, Replica,
     Settings,
 };
+use coordination::expiry::Timer;
 use coordination::membership::{Candidate, Planner, Step};
 use protocol::wire::Envelope;
 use state::collections::Map;
@@ -114,6 +115,7 @@
     applied: u64,
     /// How far the journal may be behind.
     tolerance: Tolerance,
+    expiry: Timer,
     /// Time of the last line in the log on a slow journal.
     slow_logged_at: Option<Instant>,
     status: Status,
@@ -154,6 +156,7 @@
             replacements: Map::default(),
             applied,
             tolerance: Tolerance::default(),
+            expiry: Timer::default(),
             slow_logged_at: None,
             status: Status::default(),
             status_sender,
@@ -172,6 +175,7 @@
             self.replica.tick(self.clock.now());
             self.advance_replacements();
             self.plan_membership();
+            self.expire();
             if let Err(error) = self.process() {
                 tracing::error!(group = self.group, %error, "replica stopped after an error");
                 self.status.fault = Some(error.to_string());
@@ -333,6 +337,21 @@
         }
     }
 
+    /// Moves the time of the state on while no command does, so that what has expired is removed.
+    fn expire(&mut self) {
+        let now = self.clock.now();
+        let time_ms = self.state_machine.time_ms().and_then(|time| self.expiry.due(now, time));
+        if !self.replica.is_established() {
+            return;
+        }
+        if let Some(command) = time_ms.and_then(|time| self.state_machine.expiry(time)) {
+            let token = self.next_token();
+            if let Err(refusal) = self.replica.propose(now, token, command) {
+                tracing::debug!(group = self.group, %refusal, "expiry is put off");
+            }
+        }
+    }
+
     /// Carries out the work of the replica until none is left, then answers confirmed reads.
     fn process(&mut self) -> Result<(), Storage> {
         loop {
