--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -351,6 +351,10 @@
         now_ms: 1_000_050,
     };
     check("turn-begin", &turn::Command::Begin(begin()));
+    let unretained = [example("turn-begin").as_slice(), turn::UNRETAINED].concat();
+    assert_eq!(hex(&unretained), hex(&example("turn-begin-unretained")));
+    let decoded = machine::decode::<turn::Command>(&unretained).unwrap();
+    assert_eq!(decoded, turn::Command::Begin(begin()));
     check("turn-end", &turn::Command::End(end));
     check("turn-assign", &turn::Command::Assign(assign));
     let expiry = turn::Command::End(End { now_ms: 1_100_000, ..End::default() });
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -191,6 +191,17 @@
     Ok(postcard::from_bytes(bytes)?)
 }
 
+/// Decodes a postcard value, and returns what follows it.
+///
+/// # Errors
+///
+/// As [`decode`].
+pub fn decode_first<'a, T: serde::Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), Storage> {
+    Ok(postcard::take_from_bytes(bytes)?)
+}
+
 /// Encodes a value as postcard.
 ///
 /// # Errors
--- a/crates/state/src/turn/command.rs
+++ b/crates/state/src/turn/command.rs
@@ -15,6 +15,11 @@
     Assign(Assign),
 }
 
+/// Follows the encoded [`Begin`] of a turn whose content isn't retained, so that the leader knows that
+/// it needs no room; [`Begin::retention_ms`] tells nothing of it, since budgets depend on it, too. The
+/// state machines of all builds ignore what follows a command.
+pub const UNRETAINED: &[u8] = b"u";
+
 /// Start of a turn: reserves its tokens and extends the retention of the turns before it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Begin {
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -7,7 +7,9 @@
 use crate::error::Storage;
 use crate::history::{Locator, Position, Store};
 use crate::machine::{self, Class, Export, Import, StateMachine};
-use crate::turn::command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation};
+use crate::turn::command::{
+    Assign, Begin, Command, End, Query, Record, Reply, Reservation, UNRETAINED,
+};
 use crate::turn::stream::{Assignment, Origin, Start, Streams};
 use crate::turn::transfer::{Exporter, Importer};
 use serde::{Deserialize, Serialize};
@@ -342,8 +344,13 @@
     fn has_room(&self, data: &[u8]) -> bool {
         // The end of a turn is always accepted: the turn has run, and its caller was promised that
         // it is retained.
-        self.retained_bytes < self.max_retained_bytes
-            || !matches!(machine::decode(data), Ok(Command::Begin(begin)) if begin.retention_ms > 0)
+        if self.retained_bytes < self.max_retained_bytes {
+            return true;
+        }
+        match machine::decode_first(data) {
+            Ok((Command::Begin(begin), rest)) => begin.retention_ms == 0 || rest == UNRETAINED,
+            _ => true,
+        }
     }
 
     fn class(&self, data: &[u8]) -> Option<Class> {
--- a/crates/state/src/turn/mod.rs
+++ b/crates/state/src/turn/mod.rs
@@ -11,6 +11,6 @@
 mod stream;
 mod transfer;
 
-pub use command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation};
+pub use command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation, UNRETAINED};
 pub use machine::{MAX_RETAINED_BYTES, Turns};
 pub use stream::{Assignment, Origin, Start};
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -5,6 +5,7 @@
 use state::machine::{Class, StateMachine};
 use state::turn::{
     Assign, Assignment, Begin, Command, End, Origin, Record, Reply, Reservation, Start, Turns,
+    UNRETAINED,
 };
 
 const RETENTION_MS: u64 = 60_000;
@@ -128,6 +129,22 @@
     assert!(has_room(&turns, &begin("b", 1, 200_000)), "expired turns leave room");
 }
 
+/// Routes that retain no turns name a retention, too, on which budgets depend.
+#[test]
+fn turns_that_keep_nothing_are_accepted_while_the_room_is_full() {
+    let mut turns = turns().with_max_retained_bytes(10);
+    retain(&mut turns, "root", None, 1_000);
+    retain(&mut turns, "child", Some("root"), 2_000);
+    let mut command = state::machine::encode(&begin("b", 600, 3_000)).unwrap();
+    assert!(!turns.has_room(&command));
+    command.extend_from_slice(UNRETAINED);
+    assert!(turns.has_room(&command));
+    assert_eq!(turns.class(&command), Some(Class::Begin));
+    let reply = state::machine::decode::<Reply>(&turns.apply(&command).unwrap()).unwrap();
+    assert_eq!(reply, BEGUN);
+    assert_eq!(turns.execute(begin("c", 600, 4_000)).unwrap(), Reply::Exhausted { remaining: 400 });
+}
+
 #[test]
 fn full_room_is_freed_by_time_alone() {
     let mut turns = turns().with_max_retained_bytes(10);
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -416,7 +416,8 @@
         let remaining = deadline.saturating_duration_since(started).mul_f64(JOURNAL_SHARE);
         let is_isolated = self.entry.is_isolated();
         let timeout = if is_isolated { remaining.min(ISOLATED_TIMEOUT) } else { remaining };
-        let (turn, admission) = Turn::begin(&self.entry.member, begin, timeout).await;
+        let (turn, admission) =
+            Turn::begin(&self.entry.member, begin, route.retains_turns, timeout).await;
         let is_unreachable = matches!(admission, Err(_) | Ok(Admission::Refused));
         self.entry.is_journal_unreachable.store(is_unreachable, Ordering::Relaxed);
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -11,7 +11,9 @@
 use protocol::wire::{Request, Response};
 use serde_bytes::ByteBuf;
 use state::machine;
-use state::turn::{Assign, Assignment, Begin, Command, End, Origin, Query, Record, Reply};
+use state::turn::{
+    Assign, Assignment, Begin, Command, End, Origin, Query, Record, Reply, UNRETAINED,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,10 +60,12 @@
 }
 
 impl Turn {
-    /// Reserves the turn's tokens and fetches the content of the preceding turns.
+    /// Reserves the turn's tokens and fetches the content of the preceding turns. `is_retained` tells
+    /// whether the turn's content is to be retained.
     pub(crate) async fn begin(
         member: &Arc<Member>,
         mut begin: Begin,
+        is_retained: bool,
         timeout: Duration,
     ) -> (Self, Result<Admission, Unreachable>) {
         begin.now_ms = clock::unix_ms();
@@ -75,7 +79,16 @@
             server: None,
         };
         let previous = begin.previous.clone();
-        let admission = submit_begin(member, &Command::Begin(begin), previous, timeout).await;
+        let command = machine::encode(&Command::Begin(begin)).map_err(|_| Unreachable);
+        let admission = match command {
+            Ok(mut command) => {
+                if !is_retained {
+                    command.extend_from_slice(UNRETAINED);
+                }
+                submit_begin(member, command, previous, timeout).await
+            }
+            Err(error) => Err(error),
+        };
         // A turn that has certainly not begun needs no end.
         turn.is_open &= !matches!(admission, Ok(Admission::Refused));
         (turn, admission)
@@ -171,15 +184,14 @@
     }
 }
 
-/// Submits the begin of a turn and, if it continues from a `previous` turn, queries the content
+/// Submits the encoded begin of a turn and, if it continues from a `previous` turn, queries the content
 /// of the turns up to that one.
 async fn submit_begin(
     member: &Member,
-    command: &Command,
+    command: Vec<u8>,
     previous: Option<String>,
     timeout: Duration,
 ) -> Result<Admission, Unreachable> {
-    let command = machine::encode(command).map_err(|_| Unreachable)?;
     let group = PROGRAMS;
     let request = match &previous {
         Some(turn) => {
