fix(gateway): a call that reaches a silent server late looks for another one, too

Change: the state of the server is looked at before the wait; an end is worked out once for each time at which the server was last heard. No test brings about the race. Conclusion: no order of finding and sending leaves a call behind.

--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -573,13 +573,15 @@
         };
         let may_leave = async {
             loop {
-                peer.silence().await;
+                let fallen_silent = peer.silence();
+                // It may have fallen silent while the request was on its way to it.
                 while peer.is_silent() {
                     if self.may_try_another(outbound, attempted) {
                         return;
                     }
                     tokio::time::sleep(LEAVE_RETRY_PAUSE).await;
                 }
+                fallen_silent.await;
             }
         };
         tokio::select! {
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -28,6 +28,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
 /// Interval between two checks.
@@ -188,9 +189,9 @@
         self.fallen_silent.notify_waiters();
     }
 
-    /// Waits until the server is found silent.
-    pub(super) async fn silence(&self) {
-        self.fallen_silent.notified().await;
+    /// Waits until the server is found silent, from this call on.
+    pub(super) fn silence(&self) -> Notified<'_> {
+        self.fallen_silent.notified()
     }
 
     /// Ends all waits for [`Peer::ended`].
@@ -461,14 +462,14 @@
         });
         let doubts = self.take_doubts(address).into_iter().map(|doubt| doubt.loss);
         let losses: Vec<Loss> = pending.chain(doubts).collect();
-        let mut ends = Set::default();
+        let mut ends: Map<(&str, Millis), u64> = Map::default();
         if let Ok(mut quarantine) = self.member.quarantine.lock() {
-            let crash = |loss: &Loss| {
-                let end = quarantine.end_of(&loss.server, loss.alive_at);
-                ends.insert(end);
-                Crash::new(loss.content, end, loss.is_before_first_event)
-            };
-            let crashes: Vec<Crash> = losses.iter().map(crash).collect();
+            let mut crashes = Vec::with_capacity(losses.len());
+            for Loss { server, alive_at, content, is_before_first_event, .. } in &losses {
+                let end = ends.entry((server.as_str(), *alive_at));
+                let end = *end.or_insert_with(|| quarantine.end_of(server, *alive_at));
+                crashes.push(Crash::new(*content, end, *is_before_first_event));
+            }
             for content in quarantine.suspect(now, crashes) {
                 tracing::warn!(
                     %content,
@@ -479,6 +480,7 @@
         }
         self.member.heartbeat_trigger.notify_one();
         peer.fall_silent();
+        let ends = ends.into_values().collect();
         (losses, ends)
     }
 
