refactor(gateway): servers' connections, vigils and timeouts have files of their own

Change: Peer, Vigil and the waits of a request are moved to peer.rs, vigil.rs and timeouts.rs. Nothing else changes.

--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -5,8 +5,8 @@
 
 use crate::gateway::entry::Entry;
 use crate::gateway::loss::{Loss, Subject};
+use crate::gateway::peer::{Pending, Registration};
 use crate::gateway::pool::Connection;
-use crate::gateway::silence::{Pending, Registration};
 use coordination::placement::{Listing, Outcome};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod organisations;
 mod origin;
+mod peer;
 pub(crate) mod pool;
 mod probe;
 mod relay;
@@ -28,8 +29,10 @@
 mod server;
 mod silence;
 mod stories;
+mod timeouts;
 mod turns;
 mod usage;
+mod vigil;
 mod waiter;
 
 pub use connector::{ConnectFuture, Connector, Direct};
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -7,7 +7,7 @@
 use crate::clock::Clock;
 use crate::gateway::connector::{Connector, Direct};
 use crate::gateway::error;
-use crate::gateway::silence::Peer;
+use crate::gateway::peer::Peer;
 use bytes::Bytes;
 use coordination::Millis;
 use http::{HeaderMap, Request, Response};
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -6,39 +6,30 @@
 //! requests go the way of those whose server closed them only if it has ended. Requests that were
 //! given up before are remembered until then as [`Doubt`]s.
 
-use crate::clock::{Clock, millis};
+use crate::clock::millis;
 use crate::gateway::dialect::{Dispatch, Identity};
 use crate::gateway::entry::Entry;
-use crate::gateway::loss::{Loss, Subject};
+use crate::gateway::loss::Loss;
 use crate::gateway::pool::Connection;
+use crate::gateway::vigil::{Probe, Reaction, Vigil, react};
 use bytes::Bytes;
 use coordination::Millis;
 use coordination::placement::{Listing, Server};
 use coordination::quarantine::Crash;
-use coordination::silence::{Fate, Observed, Owed, PROBE_TIMEOUT_MS, Probed, Trace, Verdict};
+use coordination::silence::{Fate, Observed, PROBE_TIMEOUT_MS, Probed, Trace, Verdict};
 use futures_util::future::join_all;
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::Full;
 use rand::seq::IteratorRandom;
 use state::collections::{Map, Set};
-use std::future::Future;
 use std::io;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::sync::Notify;
-use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
 /// Interval between two checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Number of checks in the time of the probe by which a server is found silent.
-const FIRST_PROBE_CHECKS: u32 = (PROBE_TIMEOUT_MS / 100) as u32;
-
-/// Number of checks between two probes of a silent server.
-const CHECKS_PER_PROBE: u32 = 10;
+pub(super) const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(PROBE_TIMEOUT_MS);
@@ -62,240 +53,6 @@
 /// Maximum number of requests that are remembered; later ones aren't.
 const MAX_DOUBTS: usize = 256;
 
-/// A request that a server has.
-#[derive(Debug)]
-pub(super) struct Pending {
-    /// Id of the request.
-    pub(super) request: String,
-    pub(super) subject: Arc<Subject>,
-    /// Id of the server.
-    pub(super) server: String,
-    /// Time at which its connection was opened.
-    pub(super) opened_at: Millis,
-    pub(super) sent_at: Millis,
-    /// Whether it is for a stream of which no event was received.
-    pub(super) is_before_first_event: AtomicBool,
-}
-
-/// Entry of a request among those that its server has, until it is dropped.
-pub(super) struct Registration {
-    pub(super) peer: Arc<Peer>,
-    number: u64,
-    pub(super) pending: Arc<Pending>,
-}
-
-impl Drop for Registration {
-    fn drop(&mut self) {
-        if let Ok(mut requests) = self.peer.requests.lock() {
-            requests.remove(&self.number);
-        }
-    }
-}
-
-/// What the connections to one server show.
-#[derive(Debug)]
-pub(crate) struct Peer {
-    clock: Clock,
-    /// Time of the last byte.
-    heard_at: AtomicU64,
-    /// Time of the first request after that.
-    asked_at: AtomicU64,
-    /// Time at which it was found silent; 0 if it goes on or never was.
-    silent_at: AtomicU64,
-    /// Whether it refused the last connection.
-    is_refusing: AtomicBool,
-    requests: Mutex<Map<u64, Arc<Pending>>>,
-    registered: AtomicU64,
-    fallen_silent: Notify,
-    ended: Notify,
-}
-
-impl Peer {
-    pub(super) fn new(clock: Clock) -> Self {
-        Self {
-            clock,
-            heard_at: AtomicU64::new(0),
-            asked_at: AtomicU64::new(0),
-            silent_at: AtomicU64::new(0),
-            is_refusing: AtomicBool::new(false),
-            requests: Mutex::default(),
-            registered: AtomicU64::new(0),
-            fallen_silent: Notify::new(),
-            ended: Notify::new(),
-        }
-    }
-
-    pub(super) fn now(&self) -> Millis {
-        self.clock.now()
-    }
-
-    /// Records that bytes arrived on a connection that was opened at `opened_at`.
-    pub(super) fn hear(&self, opened_at: Millis) {
-        self.heard_at.store(self.now(), Ordering::Relaxed);
-        if opened_at <= self.silent_at.load(Ordering::Relaxed) {
-            self.silent_at.store(0, Ordering::Relaxed);
-        }
-    }
-
-    /// Records whether the server refused a connection. One that accepts again has started again.
-    pub(super) fn observe_opening(&self, is_refusing: bool) {
-        if self.is_refusing.swap(is_refusing, Ordering::Relaxed) && !is_refusing {
-            self.heard_at.store(self.now(), Ordering::Relaxed);
-        }
-    }
-
-    /// Records that a request is sent.
-    pub(super) fn ask(&self) {
-        if self.heard_at() >= self.asked_at.load(Ordering::Relaxed) {
-            self.asked_at.store(self.now(), Ordering::Relaxed);
-        }
-    }
-
-    /// Time of the last byte; 0 before the first one.
-    pub(super) fn heard_at(&self) -> Millis {
-        self.heard_at.load(Ordering::Relaxed)
-    }
-
-    /// Time since which the server has sent nothing, if it has requests.
-    fn quiet_since(&self) -> Millis {
-        self.heard_at().max(self.asked_at.load(Ordering::Relaxed))
-    }
-
-    /// Registers a request that is sent to the server.
-    pub(super) fn register(self: &Arc<Self>, pending: Pending) -> Registration {
-        let number = self.registered.fetch_add(1, Ordering::Relaxed);
-        let pending = Arc::new(pending);
-        if let Ok(mut requests) = self.requests.lock() {
-            requests.insert(number, pending.clone());
-        }
-        Registration { peer: self.clone(), number, pending }
-    }
-
-    /// Returns the requests that the server has had since `time` or longer.
-    fn requests_since(&self, time: Millis) -> Vec<Arc<Pending>> {
-        let Ok(requests) = self.requests.lock() else {
-            return Vec::new();
-        };
-        requests.values().filter(|pending| pending.sent_at <= time).cloned().collect()
-    }
-
-    /// Whether the server was found silent and has sent nothing since on connections from before.
-    pub(super) fn is_silent(&self) -> bool {
-        self.silent_at.load(Ordering::Relaxed) > 0
-    }
-
-    /// Ends all waits for [`Peer::silence`].
-    fn fall_silent(&self) {
-        self.fallen_silent.notify_waiters();
-    }
-
-    /// Waits until the server is found silent, from this call on.
-    pub(super) fn silence(&self) -> Notified<'_> {
-        self.fallen_silent.notified()
-    }
-
-    /// Ends all waits for [`Peer::ended`].
-    pub(super) fn end(&self) {
-        self.ended.notify_waiters();
-    }
-
-    /// Waits until the server has ended in silence.
-    pub(super) async fn ended(&self) {
-        self.ended.notified().await;
-    }
-}
-
-/// How a server reacts to a probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Reaction {
-    /// It answers.
-    Answered,
-    /// It closes the connection.
-    Closed,
-    /// It refuses the connection.
-    Refused,
-    /// The connection can't be opened.
-    Unreachable,
-    /// This instance could not try to open a connection.
-    Untried,
-}
-
-/// A probe that is under way. Its connection is closed when it is dropped.
-type Probe = Pin<Box<dyn Future<Output = Reaction> + Send>>;
-
-/// Waits for the reaction to a probe, if there is one; it is done then.
-async fn reaction(probe: &mut Option<Probe>) -> Reaction {
-    let Some(pending) = probe else {
-        return std::future::pending().await;
-    };
-    let reaction = pending.await;
-    *probe = None;
-    reaction
-}
-
-/// Probes of a silent server.
-struct Vigil {
-    /// Probe from before the server was found silent, or the first one whose connection was open.
-    earlier: Option<Probe>,
-    later: Option<Probe>,
-    trace: Trace,
-    checks: u32,
-    /// Whether the server closed the connection of a later probe. It may have been open when the server
-    /// ended, so that only the next one shows whether there is a server.
-    has_closed: bool,
-}
-
-impl Vigil {
-    fn new(earlier: Option<Probe>) -> Self {
-        let probe = if earlier.is_some() { Owed::Open } else { Owed::Nothing };
-        let silent_checks = FIRST_PROBE_CHECKS;
-        let trace = Trace { probe, is_listed: true, silent_checks, ..Trace::default() };
-        Self { earlier, later: None, trace, checks: 0, has_closed: false }
-    }
-
-    /// Waits for one check, and records how the server reacts to the probes.
-    async fn check(&mut self, begin_probe: impl Fn() -> Probe) {
-        let trace = &mut self.trace;
-        let pause = tokio::time::sleep(CHECK_INTERVAL);
-        let mut pause = std::pin::pin!(pause);
-        loop {
-            tokio::select! {
-                reaction = reaction(&mut self.earlier) => match reaction {
-                    Reaction::Answered => trace.has_gone_on = true,
-                    Reaction::Closed => trace.probe = Owed::Closed,
-                    Reaction::Refused => trace.is_refusing = true,
-                    Reaction::Unreachable | Reaction::Untried => trace.probe = Owed::Nothing,
-                },
-                reaction = reaction(&mut self.later) => match reaction {
-                    Reaction::Closed if !std::mem::replace(&mut self.has_closed, true) => {
-                        self.later = Some(begin_probe());
-                    }
-                    Reaction::Answered | Reaction::Closed => {
-                        trace.is_crowded |= reaction == Reaction::Closed;
-                        trace.checks_since_answer.get_or_insert(0);
-                    }
-                    Reaction::Refused => trace.is_refusing = true,
-                    Reaction::Unreachable | Reaction::Untried => {}
-                },
-                () = &mut pause => break,
-            }
-        }
-        match &mut trace.checks_since_answer {
-            Some(checks) => *checks += 1,
-            None => trace.silent_checks += 1,
-        }
-        self.checks += 1;
-        if self.checks.is_multiple_of(CHECKS_PER_PROBE) && trace.checks_since_answer.is_none() {
-            // A connection that isn't open by now is no longer tried.
-            let pending = self.later.replace(begin_probe());
-            if trace.probe == Owed::Nothing && pending.is_some() {
-                self.earlier = pending;
-                trace.probe = Owed::Open;
-            }
-        }
-    }
-}
-
 /// A request that was given up while its server was silent.
 #[derive(Debug)]
 pub(super) struct Doubt {
@@ -614,11 +371,3 @@
         request
     }
 }
-
-/// Sends the request of a probe, and waits for the reaction.
-async fn react(mut connection: Connection, request: Request<Full<Bytes>>) -> Reaction {
-    match connection.send(request).await {
-        Ok(_) => Reaction::Answered,
-        Err(_) => Reaction::Closed,
-    }
-}
