refactor(gateway): the probes of a silent server are a prober

Cause: read as a newcomer: "vigil" is no term of the field, and the head of silence.rs told an earlier form of the fates. Change: names and one comment.

--- a/crates/coordination/src/silence.rs
+++ b/crates/coordination/src/silence.rs
@@ -10,8 +10,8 @@
 //! A silent server may go on with everything that it had, or may have ended. Silence alone can't tell
 //! the two apart, so nothing that the server has accepted is given up for it; it only gets nothing
 //! new. What follows is a [`Fate`], which the server itself shows: it goes on if it sends anything on
-//! a connection from before, and has ended if it refuses connections, or answers new ones and has
-//! forgotten what it owed.
+//! a connection from before, and has ended if it refuses connections or has closed all of those. If it
+//! answers new ones but not what it owed, that counts as an end, and its requests still wait.
 //!
 //! Load pattern: one request that takes down each server that executes it, without a connection being
 //! closed, and comes again through all instances; among slow servers, servers that pause for a second
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod peer;
 pub(crate) mod pool;
 mod probe;
+mod prober;
 mod relay;
 mod sending;
 mod server;
@@ -32,7 +33,6 @@
 mod timeouts;
 mod turns;
 mod usage;
-mod vigil;
 mod waiter;
 
 pub use connector::{ConnectFuture, Connector, Direct};
--- a/crates/transport/src/gateway/vigil.rs
+++ b/crates/transport/src/gateway/prober.rs
@@ -44,7 +44,7 @@
 }
 
 /// Probes of a silent server.
-pub(super) struct Vigil {
+pub(super) struct Prober {
     /// Probe from before the server was found silent, or the first one whose connection was open.
     earlier: Option<Probe>,
     later: Option<Probe>,
@@ -55,7 +55,7 @@
     has_closed: bool,
 }
 
-impl Vigil {
+impl Prober {
     pub(super) fn new(earlier: Option<Probe>) -> Self {
         let probe = if earlier.is_some() { Owed::Open } else { Owed::Nothing };
         let silent_checks = FIRST_PROBE_CHECKS;
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -11,7 +11,7 @@
 use crate::gateway::entry::Entry;
 use crate::gateway::loss::Loss;
 use crate::gateway::pool::Connection;
-use crate::gateway::vigil::{Probe, Reaction, Vigil, react};
+use crate::gateway::prober::{Probe, Prober, Reaction, react};
 use bytes::Bytes;
 use coordination::Millis;
 use coordination::placement::{Listing, Server};
@@ -250,10 +250,10 @@
     ) -> (Fate, Trace) {
         let peer = self.pool.peer(address);
         let silent_at = peer.silent_at.load(Ordering::Relaxed);
-        let mut vigil = Vigil::new(probe);
+        let mut prober = Prober::new(probe);
         loop {
-            vigil.check(|| self.begin_probe(address)).await;
-            let trace = &mut vigil.trace;
+            prober.check(|| self.begin_probe(address)).await;
+            let trace = &mut prober.trace;
             trace.has_gone_on |= !peer.is_silent();
             trace.open_requests = peer.requests_since(silent_at).len();
             if trace.is_refusing && !self.reaches_others(address).await {
