fix(state): turns with large inputs no longer take the room of ordinary ones

The room was given out while any was left, whatever a turn took, whoever asked: a caller without organisation or program in common with its other turns can't be told from others, so that a bound by caller doesn't help. Turns in progress were not counted, and programs under way were refused as often as new ones. Change: a begin names the size of its input (after the command, ignored by earlier builds). A turn may take one part in 8 of the room that is left; turns in progress count; new programs leave an eighth of the room to those under way. A turn that finds no room is refused at once, with the time at which enough expires, instead of being tried again until half of its time is over. Senders of earlier builds name no size and are refused as before. Conclusion: what one turn takes shrinks with what is left, so that large turns end their share at a point where thousands of ordinary ones fit. Ordinary turns alone can still fill the room; then new programs are refused before those under way.

--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -363,6 +363,10 @@
     assert_eq!(hex(&unretained), hex(&example("turn-begin-unretained")));
     let decoded = machine::decode::<turn::Command>(&unretained).unwrap();
     assert_eq!(decoded, turn::Command::Begin(begin()));
+    let need = turn::Need::Retained(17_000).encode().unwrap();
+    let retained = [example("turn-begin").as_slice(), &need].concat();
+    assert_eq!(hex(&retained), hex(&example("turn-begin-retained")));
+    assert_eq!(machine::decode::<turn::Command>(&retained).unwrap(), turn::Command::Begin(begin()));
     check("turn-end", &turn::Command::End(end));
     check("turn-assign", &turn::Command::Assign(assign));
     let expiry = turn::Command::End(End { now_ms: 1_100_000, ..End::default() });
@@ -377,6 +381,7 @@
         turn::Reply::Exhausted { remaining: 7 },
         turn::Reply::NoSuchTurn,
         turn::Reply::Ended,
+        turn::Reply::NoRoom { retry_ms: 5_000 },
     ];
     for (number, reply) in replies.into_iter().enumerate() {
         check(&format!("turn-reply-{number}"), &reply);
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -105,6 +105,12 @@
         None
     }
 
+    /// Reply to the command `data`, which the state has no room for; `None` if its sender knows no such
+    /// reply. Only the leader asks, instead of appending the command.
+    fn refusal(&self, _data: &[u8]) -> Option<Vec<u8>> {
+        None
+    }
+
     /// Answers the encoded query `data` from the applied state.
     ///
     /// # Errors
--- a/crates/state/src/turn/command.rs
+++ b/crates/state/src/turn/command.rs
@@ -1,5 +1,7 @@
 //! Commands, queries and replies of the turn journal.
 
+use crate::error::Storage;
+use crate::machine;
 use crate::turn::stream::{Assignment, Origin, Start};
 use serde::{Deserialize, Serialize};
 
@@ -15,11 +17,57 @@
     Assign(Assign),
 }
 
+/// Kind of a [`Command`], which decodes from it without the rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub(crate) enum Kind {
+    Begin,
+    End,
+    Assign,
+}
+
 /// Follows the encoded [`Begin`] of a turn whose content isn't retained, so that the leader knows that
 /// it needs no room; [`Begin::retention_ms`] tells nothing of it, since budgets depend on it, too. The
 /// state machines of all builds ignore what follows a command.
 pub const UNRETAINED: &[u8] = b"u";
 
+/// First byte of what follows the encoded [`Begin`] of a turn whose content is retained.
+const RETAINED: u8 = b'r';
+
+/// What the content of a turn that begins needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    /// Nothing is retained.
+    Nothing,
+    /// An input of this size, in bytes, is retained.
+    Retained(u64),
+    /// The sender is of an earlier build, which names no size; its input is retained.
+    Unknown,
+}
+
+impl Need {
+    /// Returns what follows the encoded [`Begin`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Storage::Codec`] if the size cannot be encoded.
+    pub fn encode(self) -> Result<Vec<u8>, Storage> {
+        match self {
+            Self::Nothing => Ok(UNRETAINED.to_vec()),
+            Self::Retained(bytes) => machine::encode(&(RETAINED, bytes)),
+            Self::Unknown => Ok(Vec::new()),
+        }
+    }
+
+    /// Reads what follows the encoded [`Begin`].
+    pub(crate) fn decode(rest: &[u8]) -> Self {
+        match machine::decode(rest) {
+            _ if rest == UNRETAINED => Self::Nothing,
+            Ok((RETAINED, bytes)) => Self::Retained(bytes),
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Start of a turn: reserves its tokens and extends the retention of the turns before it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Begin {
@@ -120,6 +168,12 @@
     NoSuchTurn,
     /// The turn has already ended and must not be sent again.
     Ended,
+    /// There is no room to retain the turn, which has not begun. Sent to those that name what they
+    /// [need](Need).
+    NoRoom {
+        /// Time after which there is expected to be room, in milliseconds.
+        retry_ms: u64,
+    },
 }
 
 /// A read of the turn journal.
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -8,8 +8,9 @@
 use crate::history::{Locator, Position, Store};
 use crate::machine::{self, Class, Export, Import, StateMachine};
 use crate::turn::command::{
-    Assign, Begin, Command, End, Query, Record, Reply, Reservation, UNRETAINED,
+    Assign, Begin, Command, End, Kind, Need, Query, Record, Reply, Reservation,
 };
+use crate::turn::room::Room;
 use crate::turn::stream::{Assignment, Origin, Start, Streams};
 use crate::turn::transfer::{Exporter, Importer};
 use serde::{Deserialize, Serialize};
@@ -86,9 +87,7 @@
     programs: Map<String, Program>,
     /// Retained turns by id.
     retained: Map<String, Turn>,
-    /// Total size of the content of retained turns, in bytes.
-    retained_bytes: u64,
-    max_retained_bytes: u64,
+    room: Room,
     streams: Streams,
     history: Box<dyn Store>,
     /// Highest `now_ms` of all applied commands, so that a clock set back expires nothing.
@@ -103,8 +102,7 @@
         Self {
             programs: Map::default(),
             retained: Map::default(),
-            retained_bytes: 0,
-            max_retained_bytes: MAX_RETAINED_BYTES,
+            room: Room::new(MAX_RETAINED_BYTES),
             streams: Streams::default(),
             history,
             now_ms: 0,
@@ -112,11 +110,10 @@
         }
     }
 
-    /// Sets the size of the content of retained turns above which no turn that is to be retained
-    /// may begin, in bytes.
+    /// Sets the room for the content of retained turns, in bytes.
     #[must_use]
     pub fn with_max_retained_bytes(self, max_retained_bytes: u64) -> Self {
-        Self { max_retained_bytes, ..self }
+        Self { room: Room::new(max_retained_bytes), ..self }
     }
 
     /// Applies one command.
@@ -216,6 +213,7 @@
     }
 
     fn end(&mut self, end: End) -> Result<Reply, Storage> {
+        self.room.settle(&end.turn);
         let origin = self.streams.get(&end.turn).map(|recorded| recorded.origin.clone());
         if let Some(id) = end.program {
             let expires_ms = self.now_ms + BUDGET_RETENTION_MS;
@@ -246,7 +244,7 @@
             self.extend_retention(previous, expires_ms);
         }
         let item = self.history.append(&record.content)?;
-        self.retained_bytes += item.len;
+        self.room.add(expires_ms, item.len);
         self.retained.insert(id, Turn { previous: record.previous, item, expires_ms });
         Ok(())
     }
@@ -289,7 +287,39 @@
     }
 
     fn count_retained(&mut self) {
-        self.retained_bytes = self.retained.values().map(|turn| turn.item.len).sum();
+        let contents = self.retained.values().map(|turn| (turn.expires_ms, turn.item.len));
+        self.room.count(self.now_ms, contents);
+    }
+
+    /// Whether the program of a turn is under way.
+    fn continues(&self, begin: &Begin) -> bool {
+        let program = begin.reservation.as_ref().map(|reservation| &reservation.program);
+        let is_known = program.is_some_and(|program| self.programs.contains_key(program));
+        begin.previous.is_some() || is_known
+    }
+
+    /// Number of bytes that are lacking for the effects of the command `data`.
+    fn lack(&self, data: &[u8]) -> u64 {
+        // The end of a turn is always accepted: the turn has run, and its caller was promised that it
+        // is retained.
+        match Self::decode_begin(data) {
+            Some((begin, rest)) if begin.retention_ms > 0 => {
+                self.room.lack(Need::decode(rest), self.continues(&begin))
+            }
+            _ => 0,
+        }
+    }
+
+    /// Decodes the command `data`, and returns what follows it; `None` unless it begins a turn.
+    fn decode_begin(data: &[u8]) -> Option<(Begin, &[u8])> {
+        let (kind, _): (Kind, _) = machine::decode_first(data).ok()?;
+        if kind != Kind::Begin {
+            return None;
+        }
+        match machine::decode_first(data).ok()? {
+            (Command::Begin(begin), rest) => Some((begin, rest)),
+            _ => None,
+        }
     }
 
     /// Concatenated content of a turn and all turns before it, oldest first; `None` if one of
@@ -337,30 +367,36 @@
 
 impl StateMachine for Turns {
     fn apply(&mut self, data: &[u8]) -> Result<Vec<u8>, Storage> {
-        let reply = self.execute(machine::decode(data)?)?;
+        let (command, rest) = machine::decode_first(data)?;
+        let begun = match &command {
+            Command::Begin(begin) => Some((begin.turn.clone(), begin.retention_ms)),
+            Command::End(_) | Command::Assign(_) => None,
+        };
+        let reply = self.execute(command)?;
+        if let (Some((turn, retention_ms)), Reply::Begun { .. }) = (begun, &reply) {
+            self.room.expect(&turn, Need::decode(rest), self.expiry_ms(retention_ms));
+        }
         machine::encode(&reply)
     }
 
     fn has_room(&self, data: &[u8]) -> bool {
-        // The end of a turn is always accepted: the turn has run, and its caller was promised that
-        // it is retained.
-        if self.retained_bytes < self.max_retained_bytes {
-            return true;
-        }
-        match machine::decode_first(data) {
-            Ok((Command::Begin(begin), rest)) => begin.retention_ms == 0 || rest == UNRETAINED,
-            _ => true,
-        }
+        self.lack(data) == 0
+    }
+
+    fn refusal(&self, data: &[u8]) -> Option<Vec<u8>> {
+        let (_, rest) = Self::decode_begin(data)?;
+        let Need::Retained(_) = Need::decode(rest) else {
+            return None;
+        };
+        let retry_ms = self.room.retry_ms(self.now_ms, self.lack(data));
+        machine::encode(&Reply::NoRoom { retry_ms }).ok()
     }
 
     fn class(&self, data: &[u8]) -> Option<Class> {
-        let Ok(Command::Begin(begin)) = machine::decode(data) else {
+        let Some((begin, _)) = Self::decode_begin(data) else {
             return Some(Class::End);
         };
-        let program = begin.reservation.as_ref().map(|reservation| &reservation.program);
-        let is_known = program.is_some_and(|program| self.programs.contains_key(program));
-        let continues = begin.previous.is_some() || is_known;
-        Some(if continues { Class::Continue } else { Class::Begin })
+        Some(if self.continues(&begin) { Class::Continue } else { Class::Begin })
     }
 
     fn time_ms(&self) -> Option<u64> {
@@ -393,7 +429,7 @@
     }
 
     fn export_bytes(&self, saved: &[u8]) -> u64 {
-        self.retained_bytes + saved.len() as u64
+        self.room.retained() + saved.len() as u64
     }
 
     fn prune(&mut self) -> Result<(), Storage> {
--- a/crates/state/src/turn/mod.rs
+++ b/crates/state/src/turn/mod.rs
@@ -8,9 +8,12 @@
 
 mod command;
 mod machine;
+mod room;
 mod stream;
 mod transfer;
 
-pub use command::{Assign, Begin, Command, End, Query, Record, Reply, Reservation, UNRETAINED};
+pub use command::{
+    Assign, Begin, Command, End, Need, Query, Record, Reply, Reservation, UNRETAINED,
+};
 pub use machine::{MAX_RETAINED_BYTES, Turns};
 pub use stream::{Assignment, Origin, Start};
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -4,8 +4,8 @@
 use state::history::{Files, Memory};
 use state::machine::{Class, StateMachine};
 use state::turn::{
-    Assign, Assignment, Begin, Command, End, Origin, Record, Reply, Reservation, Start, Turns,
-    UNRETAINED,
+    Assign, Assignment, Begin, Command, End, Need, Origin, Record, Reply, Reservation, Start,
+    Turns, UNRETAINED,
 };
 
 const RETENTION_MS: u64 = 60_000;
@@ -401,6 +401,86 @@
     assert_eq!(other.execute(late).unwrap(), Reply::UnknownStream);
 }
 
+/// First turn of a program without a budget.
+fn opening(turn: &str, now_ms: u64) -> Command {
+    let (turn, retention_ms) = (turn.into(), RETENTION_MS);
+    Command::Begin(Begin { turn, retention_ms, now_ms, ..Begin::default() })
+}
+
+/// Encodes a begin that names what it needs.
+fn needing(command: &Command, bytes: u64) -> Vec<u8> {
+    let need = Need::Retained(bytes).encode().unwrap();
+    [state::machine::encode(command).unwrap(), need].concat()
+}
+
+/// Applies a whole turn of its own program, whose input has `bytes` bytes.
+fn retain_input(turns: &mut Turns, id: &str, bytes: usize, now_ms: u64) {
+    turns.apply(&needing(&opening(id, now_ms), bytes as u64)).unwrap();
+    let record = Record { previous: None, content: vec![7; bytes], retention_ms: 60_000 };
+    let end = End { turn: id.into(), record: Some(record), now_ms, ..End::default() };
+    turns.apply(&state::machine::encode(&Command::End(end)).unwrap()).unwrap();
+}
+
+// Callers with large inputs filled the room, and ordinary turns were refused for a minute.
+#[test]
+fn large_turns_leave_no_room_to_ordinary_ones() {
+    let mut turns = turns().with_max_retained_bytes(192_000_000);
+    let mut number = 0;
+    let mut now_ms = 1_000;
+    while turns.has_room(&needing(&opening("large", now_ms), 4_000_000)) {
+        number += 1;
+        now_ms += 100;
+        retain_input(&mut turns, &format!("large-{number}"), 4_000_000, now_ms);
+    }
+    assert!(number >= 20, "large turns are served while there is room: {number}");
+    for ordinary in 0..1_000 {
+        now_ms += 10;
+        let id = format!("ordinary-{ordinary}");
+        assert!(turns.has_room(&needing(&opening(&id, now_ms), 17_000)), "turn {ordinary}");
+        retain_input(&mut turns, &id, 17_000, now_ms);
+    }
+    let refused = needing(&opening("large", now_ms), 4_000_000);
+    let reply = state::machine::decode(&turns.refusal(&refused).unwrap()).unwrap();
+    let Reply::NoRoom { retry_ms } = reply else { panic!("{reply:?}") };
+    assert!((1_000..=76_000).contains(&retry_ms), "{retry_ms}");
+    turns.apply(&needing(&opening("later", now_ms + retry_ms + 5_000), 1)).unwrap();
+    assert!(turns.has_room(&refused), "there is room when a refused turn comes back");
+}
+
+// Turns that begin together were each told that there is room for all of them.
+#[test]
+fn turns_that_begin_together_share_the_room() {
+    let mut turns = turns().with_max_retained_bytes(192_000_000);
+    let mut begun = 0;
+    while turns.has_room(&needing(&opening("next", 1_000), 4_000_000)) {
+        begun += 1;
+        turns.apply(&needing(&opening(&format!("t{begun}"), 1_000), 4_000_000)).unwrap();
+        assert!(begun * 4_000_000 < 192_000_000, "more than the room was given out");
+    }
+    let end = End { turn: "t1".into(), now_ms: 1_000, ..End::default() };
+    turns.apply(&state::machine::encode(&Command::End(end)).unwrap()).unwrap();
+    assert!(turns.has_room(&needing(&opening("next", 1_000), 4_000_000)), "one was given up");
+}
+
+// Programs under way were refused as often as new ones while the room was full, so that most of
+// them failed in their last turns.
+#[test]
+fn new_programs_leave_room_to_those_under_way() {
+    let mut turns = turns().with_max_retained_bytes(10_000_000);
+    retain_input(&mut turns, "first", 17_000, 1_000);
+    let mut number = 0;
+    while turns.has_room(&needing(&opening("new", 1_000), 17_000)) {
+        number += 1;
+        retain_input(&mut turns, &format!("t{number}"), 17_000, 1_000);
+    }
+    let (turn, previous) = ("next".into(), Some("first".into()));
+    let next = Begin { turn, previous, retention_ms: 60_000, now_ms: 1_000, ..Begin::default() };
+    for later in 0..50 {
+        assert!(turns.has_room(&needing(&Command::Begin(next.clone()), 17_000)), "turn {later}");
+        retain_input(&mut turns, &format!("later-{later}"), 17_000, 1_000);
+    }
+}
+
 #[test]
 fn programs_under_way_and_ends_are_told_from_new_work() {
     let mut turns = turns();
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -28,7 +28,7 @@
 use protocol::routes::{Route, Table};
 use rand::Rng;
 use state::error::Kind;
-use state::turn::{Assignment, Begin, Reservation, Start};
+use state::turn::{Assignment, Begin, Need, Reservation, Start};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -294,7 +294,7 @@
         let service = route.pick(rand::rng().next_u64());
         self.await_versions(metadata, &route, service, deadline).await?;
         let start = self.start_of_stream(metadata, &route, service)?;
-        let begun = self.begin(metadata, &route, start, deadline).await?;
+        let begun = self.begin(metadata, &route, start, &body, deadline).await?;
         let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
         let Begun { mut turn, prior, holder, .. } = begun;
         let caller = metadata.program.as_ref().or(metadata.session.as_ref());
@@ -404,6 +404,7 @@
         metadata: &Metadata,
         route: &Route,
         start: Option<Start>,
+        body: &Bytes,
         deadline: Instant,
     ) -> Result<Begun, Error> {
         let reservation = match (&metadata.program, metadata.budget) {
@@ -416,6 +417,10 @@
         if reservation.is_none() && !route.retains_turns && start.is_none() {
             return Ok(Begun::default());
         }
+        let need = match route.retains_turns {
+            true => Need::Retained(body.len() as u64),
+            false => Need::Nothing,
+        };
         let begin = Begin {
             turn: self.scope_id(&metadata.id),
             reservation,
@@ -428,8 +433,7 @@
         let remaining = deadline.saturating_duration_since(started).mul_f64(JOURNAL_SHARE);
         let is_isolated = self.entry.is_isolated();
         let timeout = if is_isolated { remaining.min(ISOLATED_TIMEOUT) } else { remaining };
-        let (turn, admission) =
-            Turn::begin(&self.entry.member, begin, route.retains_turns, timeout).await;
+        let (turn, admission) = Turn::begin(&self.entry.member, begin, need, timeout).await;
         let is_unreachable = matches!(admission, Err(_) | Ok(Admission::Refused));
         self.entry.is_journal_unreachable.store(is_unreachable, Ordering::Relaxed);
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
@@ -437,6 +441,10 @@
             Ok(Admission::Open { prior, holder, stream }) => {
                 Ok(Begun { turn: Some(turn), prior, holder, stream })
             }
+            Ok(Admission::NoRoom { retry_after }) => {
+                let detail = "the journal has no room to retain the turn";
+                Err(Refusal::retryable(Kind::Unavailable, retry_after, detail).into())
+            }
             Ok(Admission::Refused) => {
                 let detail = "the journal is behind, or has no leader";
                 Err(Refusal::retryable(Kind::Unavailable, JOURNAL_RETRY_AFTER, detail).into())
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -11,9 +11,7 @@
 use protocol::wire::{Request, Response};
 use serde_bytes::ByteBuf;
 use state::machine;
-use state::turn::{
-    Assign, Assignment, Begin, Command, End, Origin, Query, Record, Reply, UNRETAINED,
-};
+use state::turn::{Assign, Assignment, Begin, Command, End, Need, Origin, Query, Record, Reply};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +38,11 @@
         /// Tokens remaining in the budget.
         remaining: u64,
     },
+    /// The journal has no room to retain the turn.
+    NoRoom {
+        /// Time after which it is expected to have room.
+        retry_after: Duration,
+    },
     /// The turn to continue from does not exist or is no longer retained.
     UnknownTurn,
     /// The origin of the stream to take up is not known.
@@ -60,12 +63,12 @@
 }
 
 impl Turn {
-    /// Reserves the turn's tokens and fetches the content of the preceding turns. `is_retained` tells
-    /// whether the turn's content is to be retained.
+    /// Reserves the turn's tokens and the room that it needs, and fetches the content of the preceding
+    /// turns.
     pub(crate) async fn begin(
         member: &Arc<Member>,
         mut begin: Begin,
-        is_retained: bool,
+        need: Need,
         timeout: Duration,
     ) -> (Self, Result<Admission, Unreachable>) {
         begin.now_ms = clock::unix_ms();
@@ -79,15 +82,11 @@
             server: None,
         };
         let previous = begin.previous.clone();
-        let command = machine::encode(&Command::Begin(begin)).map_err(|_| Unreachable);
+        let command = machine::encode(&Command::Begin(begin))
+            .and_then(|command| Ok([command, need.encode()?].concat()));
         let admission = match command {
-            Ok(mut command) => {
-                if !is_retained {
-                    command.extend_from_slice(UNRETAINED);
-                }
-                submit_begin(member, command, previous, timeout).await
-            }
-            Err(error) => Err(error),
+            Ok(command) => submit_begin(member, command, previous, timeout).await,
+            Err(_) => Err(Unreachable),
         };
         // A turn that has certainly not begun needs no end.
         turn.is_open &= !matches!(admission, Ok(Admission::Refused));
@@ -215,6 +214,9 @@
             let prior = chain.ok_or(Unreachable)?.into_vec();
             Ok(Admission::Open { prior, holder: server, stream })
         }
+        Reply::NoRoom { retry_ms } => {
+            Ok(Admission::NoRoom { retry_after: Duration::from_millis(retry_ms) })
+        }
         Reply::UnknownStream => Ok(Admission::UnknownStream),
         Reply::Exhausted { remaining } => Ok(Admission::Exhausted { remaining }),
         Reply::NoSuchTurn => Ok(Admission::UnknownTurn),
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -198,8 +198,13 @@
                 }
             }
             Job::Submit { command, arrived_at, reply } => {
-                if self.replica.is_leader() && !self.accepts(&command) {
-                    return self.refuse(Refusal::Full, reply);
+                if self.replica.is_leader() {
+                    if !self.state_machine.has_room(&command) {
+                        return self.refuse_for_room(&command, reply);
+                    }
+                    if !self.accepts(&command) {
+                        return self.refuse(Refusal::Full, reply);
+                    }
                 }
                 let token = self.next_token();
                 match self.replica.propose(now, token, command) {
@@ -231,17 +236,24 @@
         }
     }
 
-    /// Whether the leader accepts a command: the state has room for it, and the journal is not too far
-    /// behind for its class.
+    /// Refuses a command that the state has no room for.
+    fn refuse_for_room(&mut self, command: &[u8], reply: oneshot::Sender<Outcome>) {
+        match self.state_machine.refusal(command) {
+            Some(refusal) => {
+                self.count_refusal("the state has no room for what it would retain");
+                drop(reply.send(Outcome::Data(refusal)));
+            }
+            None => self.refuse(Refusal::Full, reply),
+        }
+    }
+
+    /// Whether the leader accepts a command: the journal is not too far behind for its class.
     fn accepts(&self, command: &[u8]) -> bool {
         let oldest = self.pending.first_key_value().map(|(_, waiter)| waiter.arrived_at);
         let waited = oldest.map_or(0, |arrived_at| millis(arrived_at.elapsed()));
         let exceeds = |class| waited > self.tolerance.limit(class);
         // No class is refused earlier than new work, and most commands need not be decoded.
-        if exceeds(Class::Begin) && self.state_machine.class(command).is_some_and(exceeds) {
-            return false;
-        }
-        self.state_machine.has_room(command)
+        !(exceeds(Class::Begin) && self.state_machine.class(command).is_some_and(exceeds))
     }
 
     /// Records the time from the arrival of a command or query to its result.
@@ -269,20 +281,25 @@
     /// Answers a command that was not appended; its sender repeats it.
     fn refuse(&mut self, refusal: Refusal, reply: oneshot::Sender<Outcome>) {
         if refusal == Refusal::Full {
-            if self.status.refused_full.is_multiple_of(REFUSALS_PER_LOG_LINE) {
-                tracing::warn!(
-                    group = self.group,
-                    waiting = self.replica.last_index() - self.replica.commit(),
-                    refused = self.status.refused_full,
-                    "command refused: the journal is behind, or too many bytes wait for a quorum or are retained"
-                );
-            }
-            self.status.refused_full += 1;
+            self.count_refusal("the journal is behind, or too many bytes wait for a quorum");
         }
         // Sending fails if the requester timed out.
         drop(reply.send(Outcome::NotLeader(self.leader_instance())));
     }
 
+    fn count_refusal(&mut self, reason: &'static str) {
+        if self.status.refused_full.is_multiple_of(REFUSALS_PER_LOG_LINE) {
+            tracing::warn!(
+                group = self.group,
+                waiting = self.replica.last_index() - self.replica.commit(),
+                refused = self.status.refused_full,
+                reason,
+                "command refused"
+            );
+        }
+        self.status.refused_full += 1;
+    }
+
     /// Returns a new token, which matches a command or query to its result.
     fn next_token(&mut self) -> u64 {
         self.last_token += 1;
