--- a/crates/coordination/src/consensus/log.rs
+++ b/crates/coordination/src/consensus/log.rs
@@ -4,6 +4,7 @@
 //! snapshot's index has been compacted away.
 
 use crate::consensus::Id;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -50,8 +51,8 @@
 pub enum Payload {
     /// No content; a new leader appends one to commit the entries of earlier terms.
     Empty,
-    /// An encoded command for the replicated state machine.
-    Data(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// An encoded command for the replicated state machine; copies of the entry share it.
+    Data(Bytes),
     /// New group members; they take effect when the entry is appended, before it commits.
     Members(Members),
 }
--- a/crates/coordination/src/consensus/replica.rs
+++ b/crates/coordination/src/consensus/replica.rs
@@ -8,6 +8,7 @@
 use crate::consensus::log::{Entry, Log, Members, Payload};
 use crate::consensus::message::{Message, Meta};
 use crate::consensus::snapshot::{Chunk, ChunkMessage, ChunkRequest, Incoming};
+use bytes::Bytes;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -348,8 +349,14 @@
     /// # Errors
     ///
     /// Returns a [`Refusal`] if another replica leads, or if too many bytes wait for a quorum.
-    pub fn propose(&mut self, now: Millis, token: u64, data: Vec<u8>) -> Result<(), Refusal> {
+    pub fn propose(
+        &mut self,
+        now: Millis,
+        token: u64,
+        data: impl Into<Bytes>,
+    ) -> Result<(), Refusal> {
         self.now = self.now.max(now);
+        let data = data.into();
         self.check_room(data.len())?;
         Ok(self.append_local(Payload::Data(data), Some(token))?)
     }
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -6,6 +6,7 @@
 use crate::transfer;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
 use coordination::consensus::{Id, Message, Peer};
 use coordination::entry::Load;
 use serde::{Deserialize, Serialize};
@@ -31,8 +32,7 @@
         /// The replica group.
         group: u32,
         /// The encoded command.
-        #[serde(with = "serde_bytes")]
-        command: Vec<u8>,
+        command: Bytes,
     },
     /// A query for the leader of a replica group.
     Query {
@@ -48,8 +48,7 @@
         /// The replica group.
         group: u32,
         /// The encoded command.
-        #[serde(with = "serde_bytes")]
-        command: Vec<u8>,
+        command: Bytes,
         /// The encoded query.
         #[serde(with = "serde_bytes")]
         query: Vec<u8>,
@@ -129,9 +128,9 @@
     /// The request was accepted; there is nothing to return.
     Done,
     /// Encoded reply of a replica group.
-    Data(#[serde(with = "serde_bytes")] Vec<u8>),
+    Data(Bytes),
     /// Encoded replies to the command and to the query of [`Request::SubmitThenQuery`].
-    SubmitThenQuery(#[serde(with = "serde_bytes")] Vec<u8>, #[serde(with = "serde_bytes")] Vec<u8>),
+    SubmitThenQuery(Bytes, Bytes),
     /// Reply to a heartbeat.
     HeartbeatReply(Box<crate::presence::Reply>),
     /// Another instance is the leader; its address, if known.
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -3,6 +3,7 @@
 //! Instances of two builds run side by side during an upgrade, and a build reads what another one
 //! has stored. So each example must encode to, and decode from, the same bytes in all builds.
 
+use bytes::Bytes;
 use coordination::authority::Confirmation;
 use coordination::consensus::{Entry, HardState, Members, Message, Meta, Payload, Peer};
 use coordination::content::{self, Content};
@@ -131,7 +132,7 @@
 fn consensus_message_of_another_build_is_not_understood() {
     let entries = vec![
         Entry { term: 2, index: 8, payload: Payload::Empty },
-        Entry { term: 2, index: 9, payload: Payload::Data(b"command".to_vec()) },
+        Entry { term: 2, index: 9, payload: Payload::Data(b"command".to_vec().into()) },
         Entry { term: 2, index: 10, payload: Payload::Members(members()) },
     ];
     let messages = [
@@ -165,7 +166,7 @@
 
 #[test]
 fn request_of_another_build_is_not_understood() {
-    let (command, query) = (b"command".to_vec(), b"query".to_vec());
+    let (command, query) = (Bytes::from_static(b"command"), b"query".to_vec());
     let heartbeat = Heartbeat {
         name: "front-1".into(),
         address: "10.0.0.1:7000".into(),
@@ -272,8 +273,11 @@
     };
     let responses = [
         ("done", Response::Done),
-        ("data", Response::Data(b"reply".to_vec())),
-        ("submit-then-query", Response::SubmitThenQuery(b"reply".to_vec(), b"view".to_vec())),
+        ("data", Response::Data(Bytes::from_static(b"reply"))),
+        (
+            "submit-then-query",
+            Response::SubmitThenQuery(Bytes::from_static(b"reply"), Bytes::from_static(b"view")),
+        ),
         ("not-leader", Response::NotLeader(Some("a:1".into()))),
         ("unknown", Response::Unknown),
         ("text", Response::Text("{}".into())),
@@ -367,6 +371,12 @@
     let retained = [example("turn-begin").as_slice(), &need].concat();
     assert_eq!(hex(&retained), hex(&example("turn-begin-retained")));
     assert_eq!(machine::decode::<turn::Command>(&retained).unwrap(), turn::Command::Begin(begin()));
+    let without_content = End {
+        record: end.record.clone().map(|record| Record { content: Vec::new(), ..record }),
+        ..end.clone()
+    };
+    let joined = without_content.encode_with(&[b"con", b"", b"tent"]).unwrap();
+    assert_eq!(hex(&joined), hex(&example("turn-end")));
     check("turn-end", &turn::Command::End(end));
     check("turn-assign", &turn::Command::Assign(assign));
     let expiry = turn::Command::End(End { now_ms: 1_100_000, ..End::default() });
@@ -403,7 +413,7 @@
 #[test]
 fn journal_record_of_another_build_is_not_understood() {
     let hard_state = machine::encode(&HardState { term: 2, vote: Some(1) }).unwrap();
-    let entry = Entry { term: 2, index: 9, payload: Payload::Data(b"command".to_vec()) };
+    let entry = Entry { term: 2, index: 9, payload: Payload::Data(b"command".to_vec().into()) };
     let meta = machine::encode(&Meta { index: 9, term: 2, members: members() }).unwrap();
     check("journal-meta", &journal::Record::Meta(hard_state));
     let body = machine::encode(&entry).unwrap();
--- a/crates/state/src/journal.rs
+++ b/crates/state/src/journal.rs
@@ -27,6 +27,9 @@
 /// Maximum size of a record body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Size at which the buffer of a batch is written, in bytes; limits its memory use.
+const WRITE_BUFFER_BYTES: usize = 1024 * 1024;
+
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -80,22 +83,43 @@
     }
 }
 
+/// Records to write, each of which is made when the one before it has been encoded.
+pub type Records<'a> = &'a mut dyn Iterator<Item = Result<Record, Storage>>;
+
 /// Append-only log with one sync per batch.
 pub trait Log: Send {
     /// Appends `records` as one batch and returns after they are durable.
     ///
     /// # Errors
     ///
-    /// Returns a storage error if the disk fails; every later call then returns
-    /// [`Storage::Stopped`].
-    fn append(&mut self, records: &[Record]) -> Result<(), Storage>;
+    /// Returns a storage error if the disk fails or a record cannot be made; every later call then
+    /// returns [`Storage::Stopped`].
+    fn extend(&mut self, records: Records<'_>) -> Result<(), Storage>;
+
+    /// As [`Log::extend`], for a few small records.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::extend`].
+    fn append(&mut self, records: &[Record]) -> Result<(), Storage> {
+        self.extend(&mut records.iter().cloned().map(Ok))
+    }
 
     /// Starts a new segment file with `records` and deletes the older files.
     ///
     /// # Errors
     ///
-    /// As [`Log::append`].
-    fn rewrite(&mut self, records: &[Record]) -> Result<(), Storage>;
+    /// As [`Log::extend`].
+    fn replace(&mut self, records: Records<'_>) -> Result<(), Storage>;
+
+    /// As [`Log::replace`], for a few small records.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::extend`].
+    fn rewrite(&mut self, records: &[Record]) -> Result<(), Storage> {
+        self.replace(&mut records.iter().cloned().map(Ok))
+    }
 
     /// Size of the current segment file, in bytes; starts again with each [`Log::rewrite`].
     fn bytes(&self) -> u64;
@@ -151,18 +175,28 @@
         Ok((journal, recovery))
     }
 
-    fn write(&mut self, records: &[Record]) -> Result<(), Storage> {
-        let mut buffer = Vec::new();
+    fn write(&mut self, records: Records<'_>) -> Result<(), Storage> {
+        let (batch, mut buffer) = (self.bytes, Vec::new());
         for record in records {
-            encode(record, self.bytes, &mut buffer)?;
+            encode(&record?, batch, &mut buffer)?;
+            if buffer.len() >= WRITE_BUFFER_BYTES {
+                self.flush(&mut buffer)?;
+            }
         }
-        self.file.write_all(&buffer)?;
+        self.flush(&mut buffer)?;
         self.disk.sync_data(&self.file)?;
+        Ok(())
+    }
+
+    /// Writes the buffer to the current file and clears it.
+    fn flush(&mut self, buffer: &mut Vec<u8>) -> Result<(), Storage> {
+        self.file.write_all(buffer)?;
         self.bytes += buffer.len() as u64;
+        buffer.clear();
         Ok(())
     }
 
-    fn start_segment(&mut self, records: &[Record]) -> Result<(), Storage> {
+    fn start_segment(&mut self, records: Records<'_>) -> Result<(), Storage> {
         let older = segment_numbers(&self.folder)?;
         let number = self.number + 1;
         let temporary = self.folder.join("next.tmp");
@@ -170,7 +204,7 @@
         self.bytes = 0;
         // The older files remain after a crash before they are deleted, and are replayed before
         // this file; without the truncation their entries would be replayed twice.
-        self.write(&[Record::Truncate(0)])?;
+        self.write(&mut std::iter::once(Ok(Record::Truncate(0))))?;
         self.write(records)?;
         std::fs::rename(&temporary, segment_path(&self.folder, number))?;
         self.disk.sync_all(&File::open(&self.folder)?)?;
@@ -189,7 +223,7 @@
 }
 
 impl Log for Journal {
-    fn append(&mut self, records: &[Record]) -> Result<(), Storage> {
+    fn extend(&mut self, records: Records<'_>) -> Result<(), Storage> {
         if self.stopped {
             return Err(Storage::Stopped);
         }
@@ -197,7 +231,7 @@
         self.stop_on_error(result)
     }
 
-    fn rewrite(&mut self, records: &[Record]) -> Result<(), Storage> {
+    fn replace(&mut self, records: Records<'_>) -> Result<(), Storage> {
         if self.stopped {
             return Err(Storage::Stopped);
         }
@@ -227,13 +261,15 @@
 
 /// Appends the encoded record to `buffer`.
 fn encode(record: &Record, batch: u64, buffer: &mut Vec<u8>) -> Result<(), Storage> {
-    let body = machine::encode(record)?;
+    let start = buffer.len();
+    buffer.extend_from_slice(&[0; HEADER_BYTES]);
+    machine::encode_into(record, buffer)?;
+    let (header, body) = buffer[start..].split_at_mut(HEADER_BYTES);
     let len = u32::try_from(body.len()).map_err(|_| Storage::Stopped)?;
-    buffer.extend_from_slice(&MAGIC);
-    buffer.extend_from_slice(&len.to_le_bytes());
-    buffer.extend_from_slice(&checksum(batch, &body).to_le_bytes());
-    buffer.extend_from_slice(&batch.to_le_bytes());
-    buffer.extend_from_slice(&body);
+    header[..4].copy_from_slice(&MAGIC);
+    header[4..8].copy_from_slice(&len.to_le_bytes());
+    header[8..12].copy_from_slice(&checksum(batch, body).to_le_bytes());
+    header[12..].copy_from_slice(&batch.to_le_bytes());
     Ok(())
 }
 
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -208,11 +208,23 @@
     Ok(postcard::take_from_bytes(bytes)?)
 }
 
-/// Encodes a value as postcard.
+/// Encodes a value as postcard, into a buffer of its size.
 ///
 /// # Errors
 ///
 /// Returns [`Storage::Codec`] if the value cannot be encoded.
 pub fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Storage> {
-    Ok(postcard::to_stdvec(value)?)
+    let size = postcard::experimental::serialized_size(value)?;
+    Ok(postcard::to_extend(value, Vec::with_capacity(size))?)
+}
+
+/// Appends a value, encoded as postcard, to `buffer`.
+///
+/// # Errors
+///
+/// As [`encode`].
+pub fn encode_into<T: serde::Serialize>(value: &T, buffer: &mut Vec<u8>) -> Result<(), Storage> {
+    buffer.reserve(postcard::experimental::serialized_size(value)?);
+    *buffer = postcard::to_extend(value, std::mem::take(buffer))?;
+    Ok(())
 }
--- a/crates/state/src/turn/command.rs
+++ b/crates/state/src/turn/command.rs
@@ -142,6 +142,33 @@
     pub retention_ms: u64,
 }
 
+impl End {
+    /// Encodes the command of this end, whose record has no content yet, with the content `parts`. They are
+    /// copied once.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Storage::Codec`] if the command cannot be encoded.
+    pub fn encode_with(self, parts: &[&[u8]]) -> Result<Vec<u8>, Storage> {
+        let Some(record) = &self.record else {
+            return machine::encode(&Command::End(self));
+        };
+        debug_assert!(record.content.is_empty());
+        let tail = machine::encode(&(record.retention_ms, self.now_ms))?;
+        let whole = machine::encode(&Command::End(self))?;
+        // The length of the empty content takes one byte.
+        let head = &whole[..whole.len() - tail.len() - 1];
+        let content_len = parts.iter().map(|part| part.len()).sum::<usize>();
+        let len = machine::encode(&(content_len as u64))?;
+        let mut command = Vec::with_capacity(head.len() + len.len() + content_len + tail.len());
+        command.extend_from_slice(head);
+        command.extend_from_slice(&len);
+        parts.iter().for_each(|part| command.extend_from_slice(part));
+        command.extend_from_slice(&tail);
+        Ok(command)
+    }
+}
+
 /// Reply to a [`Command`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -53,12 +53,18 @@
     }
 }
 
-/// A complete body with the memory that it takes.
-struct Held {
+/// Bytes with the memory that they take.
+pub(crate) struct Held {
     content: Vec<u8>,
     _grant: Grant,
 }
 
+impl Held {
+    pub(crate) fn new(content: Vec<u8>, grant: Grant) -> Self {
+        Self { content, _grant: grant }
+    }
+}
+
 impl AsRef<[u8]> for Held {
     fn as_ref(&self) -> &[u8] {
         &self.content
@@ -76,8 +82,21 @@
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, Error> {
+    let (body, _) = read_for_copies(budget, body, limit, 0, deadline).await?;
+    Ok(body)
+}
+
+/// As [`read`], but also takes the memory for `copies` of the body, so that whoever has read one can
+/// make them.
+pub(crate) async fn read_for_copies(
+    budget: &Arc<Budget>,
+    body: Incoming,
+    limit: usize,
+    copies: usize,
+    deadline: Instant,
+) -> Result<(Bytes, Grant), Error> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), budget.grant(Kind::Record)));
     }
     let announced = body.size_hint().exact();
     let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -86,7 +105,7 @@
         _ => {
             let leave = Arc::new(Notify::new());
             let upload = budget.upload(Kind::Body, leave.clone());
-            let reading = Reading { upload, leave, content: Vec::new(), limit };
+            let reading = Reading { upload, leave, content: Vec::new(), limit, copies };
             tokio::time::timeout_at(deadline, reading.run(body, announced))
                 .await
                 .unwrap_or(Err(Error::Late))
@@ -105,12 +124,18 @@
     leave: Arc<Notify>,
     content: Vec<u8>,
     limit: usize,
+    /// Number of copies whose memory is taken, too.
+    copies: usize,
 }
 
 impl Reading {
-    async fn run(mut self, mut body: Incoming, announced: Option<usize>) -> Result<Bytes, Error> {
+    async fn run(
+        mut self,
+        mut body: Incoming,
+        announced: Option<usize>,
+    ) -> Result<(Bytes, Grant), Error> {
         if let Some(length) = announced {
-            self.upload.grant.resize(length).await.map_err(|Full| Error::Full)?;
+            self.take(length, length).await?;
             self.content.reserve_exact(length);
         }
         loop {
@@ -126,13 +151,21 @@
                 self.push(data).await?;
             }
         }
-        let Self { upload, content, .. } = self;
+        let Self { upload, content, copies, .. } = self;
         let mut grant = upload.complete();
+        let copied = content.len() * copies;
         // A buffer never shrinks here, so that this returns what was taken for its growth only.
-        if grant.try_resize(content.capacity()).is_err() {
+        if grant.try_resize(content.capacity() + copied).is_err() {
             return Err(Error::Full);
         }
-        Ok(Bytes::from_owner(Held { content, _grant: grant }))
+        let copied = grant.split(copied, Kind::Record);
+        Ok((Bytes::from_owner(Held::new(content, grant)), copied))
+    }
+
+    /// Takes memory for buffers of `buffered` bytes, and for the copies of a body of `length` bytes.
+    async fn take(&mut self, buffered: usize, length: usize) -> Result<(), Error> {
+        let bytes = buffered.saturating_add(length.saturating_mul(self.copies));
+        self.upload.grant.resize(bytes).await.map_err(|Full| Error::Full)
     }
 
     async fn push(&mut self, data: &[u8]) -> Result<(), Error> {
@@ -145,10 +178,9 @@
             let growth = (capacity / GROWTH_DIVISOR).max(MIN_GROWTH);
             let wanted = capacity.saturating_add(growth).min(self.limit).max(length);
             // The old and the new buffer exist side by side while the content is copied.
-            let grant = &mut self.upload.grant;
-            grant.resize(capacity.saturating_add(wanted)).await.map_err(|Full| Error::Full)?;
+            self.take(capacity.saturating_add(wanted), wanted).await?;
             self.content.reserve_exact(wanted - self.content.len());
-            grant.resize(wanted).await.map_err(|Full| Error::Full)?;
+            self.take(wanted, wanted).await?;
         }
         self.content.extend_from_slice(data);
         self.upload.advance(data.len());
--- a/crates/transport/src/controller.rs
+++ b/crates/transport/src/controller.rs
@@ -200,7 +200,7 @@
 
     async fn submit(&self, command: &Command) -> Option<Reply> {
         let command = machine::encode(command).ok()?;
-        match self.control.submit(command).await {
+        match self.control.submit(command.into()).await {
             Outcome::Data(reply) => machine::decode(&reply).ok(),
             _ => None,
         }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -21,6 +21,7 @@
 use crate::gateway::server::{Phase, wait_for_phase};
 use crate::gateway::turns::{Admission, Turn};
 use crate::gateway::usage::Permit;
+use crate::memory::Grant;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
@@ -284,7 +285,9 @@
         if !self.should_forward() {
             self.admit(metadata, &route)?;
         }
-        let body = self.read_body(body, table.limits().body_bytes, deadline).await?;
+        let copies = usize::from(route.retains_turns);
+        let limit = table.limits().body_bytes;
+        let (body, record) = self.read_body(body, limit, copies, deadline).await?;
         if self.should_forward()
             && let Some(answered) = self.forward(metadata, &route, &head, &body, deadline).await?
         {
@@ -336,6 +339,7 @@
             previous: metadata.previous.clone(),
             input: body,
             retention: route.retention,
+            grant: record,
         });
         let tokens_per_event = tokens_per_event(&table, &service);
         let max_tokens = metadata.budget.map(|budget| budget.max);
@@ -352,15 +356,17 @@
         })
     }
 
-    /// Reads the body. The connection does not make room for others from then on.
+    /// Reads the body, and takes the memory for `copies` of it. The connection does not make room for
+    /// others from then on.
     async fn read_body(
         &mut self,
         body: Incoming,
         limit: usize,
+        copies: usize,
         deadline: Instant,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<(Bytes, Grant), Error> {
         let budget = &self.entry.member.budget;
-        let error = match body::read(budget, body, limit, deadline).await {
+        let error = match body::read_for_copies(budget, body, limit, copies, deadline).await {
             Ok(body) => {
                 self.busy = Some(self.connection.busy());
                 return Ok(body);
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -30,9 +30,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
-/// Number of copies of a turn's events that exist at the same time while it is recorded: the record,
-/// its command and the message to the journal.
-const RECORD_COPIES: usize = 3;
+/// Number of copies of a turn's events that exist at the same time while it is recorded: the events and
+/// its command, which the message to the journal shares.
+const RECORD_COPIES: usize = 2;
 
 /// Reason why a request ends without a complete response. The caller sees a closed
 /// connection.
@@ -103,6 +103,8 @@
     pub(crate) previous: Option<String>,
     pub(crate) input: Bytes,
     pub(crate) retention: Duration,
+    /// Memory for the copy of the input in the command that records it.
+    pub(crate) grant: Grant,
 }
 
 /// State of a request that its log record is made of when it ends.
@@ -328,12 +330,16 @@
         };
         self.release_connection();
         let events = self.events.as_mut().map(|events| std::mem::take(&mut events.content));
-        let content = [draft.input.as_ref(), events.as_deref().unwrap_or_default()].concat();
-        drop(events);
-        let retention_ms = millis(draft.retention);
+        let (content, retention_ms) = (Vec::new(), millis(draft.retention));
         let record = TurnRecord { previous: draft.previous, content, retention_ms };
+        let command = turn.encode(record, &[&draft.input, events.as_deref().unwrap_or_default()]);
         let remaining = self.deadline.saturating_duration_since(Instant::now());
-        self.recording = Some(Box::pin(turn.record(record, remaining)));
+        let grant = draft.grant;
+        self.recording = Some(Box::pin(async move {
+            let recorded = turn.record(command?, remaining).await;
+            drop(grant);
+            recorded
+        }));
         self.poll(context)
     }
 
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -8,6 +8,7 @@
 use crate::journal::Unreachable;
 use crate::member::Member;
 use crate::member::PROGRAMS;
+use bytes::Bytes;
 use protocol::wire::{Request, Response};
 use serde_bytes::ByteBuf;
 use state::machine;
@@ -33,16 +34,16 @@
     },
     /// The journal refused the turn, which has not begun.
     Refused,
-    /// The program's remaining budget is smaller than the turn's limit.
-    Exhausted {
-        /// Tokens remaining in the budget.
-        remaining: u64,
-    },
     /// The journal has no room to retain the turn.
     NoRoom {
         /// Time after which it is expected to have room.
         retry_after: Duration,
     },
+    /// The program's remaining budget is smaller than the turn's limit.
+    Exhausted {
+        /// Tokens remaining in the budget.
+        remaining: u64,
+    },
     /// The turn to continue from does not exist or is no longer retained.
     UnknownTurn,
     /// The origin of the stream to take up is not known.
@@ -85,7 +86,7 @@
         let command = machine::encode(&Command::Begin(begin))
             .and_then(|command| Ok([command, need.encode()?].concat()));
         let admission = match command {
-            Ok(command) => submit_begin(member, command, previous, timeout).await,
+            Ok(command) => submit_begin(member, command.into(), previous, timeout).await,
             Err(_) => Err(Unreachable),
         };
         // A turn that has certainly not begun needs no end.
@@ -116,7 +117,7 @@
         let (turn, kept_ms, now_ms) = (self.id.clone(), millis(kept), clock::unix_ms());
         let command = Command::Assign(Assign { turn, origin, revision, kept_ms, now_ms });
         let command = machine::encode(&command).map_err(|_| Unreachable)?;
-        let request = Request::Submit { group: PROGRAMS, command };
+        let request = Request::Submit { group: PROGRAMS, command: command.into() };
         match self.member.leaders.route(PROGRAMS, &request, timeout).await? {
             Response::Data(reply) => match machine::decode(&reply).map_err(|_| Unreachable)? {
                 Reply::Assigned(assignment) => Ok(assignment),
@@ -126,15 +127,20 @@
         }
     }
 
-    /// Submits the end of the turn with its content. The response may end only after that.
+    /// Encodes the end of the turn with `record`, which has no content yet, and the content `parts`.
+    pub(crate) fn encode(&self, record: Record, parts: &[&[u8]]) -> Result<Bytes, Unreachable> {
+        let command = self.end(Some(record)).encode_with(parts).map_err(|_| Unreachable)?;
+        Ok(command.into())
+    }
+
+    /// Submits the encoded end of the turn. The response may end only after that.
     pub(crate) async fn record(
         mut self,
-        record: Record,
+        command: Bytes,
         timeout: Duration,
     ) -> Result<(), Unreachable> {
-        let end = self.end(Some(record));
         self.is_open = false;
-        let recorded = submit(&self.member, end, timeout).await;
+        let recorded = submit(&self.member, command, timeout).await;
         if recorded.is_err() {
             // The reservation must still be replaced by the tokens used; see `drop`.
             self.is_open = self.program.is_some();
@@ -143,15 +149,15 @@
     }
 
     /// Builds the command that ends the turn, with its content if it is to be recorded.
-    fn end(&self, record: Option<Record>) -> Command {
-        Command::End(End {
+    fn end(&self, record: Option<Record>) -> End {
+        End {
             turn: self.id.clone(),
             program: self.program.clone(),
             tokens: self.tokens,
             server: self.server.clone(),
             record,
             now_ms: clock::unix_ms(),
-        })
+        }
     }
 }
 
@@ -160,9 +166,12 @@
         if !self.is_open {
             return;
         }
-        let (member, end, id) = (self.member.clone(), self.end(None), self.id.clone());
+        let (member, id) = (self.member.clone(), self.id.clone());
+        let Ok(end) = machine::encode(&Command::End(self.end(None))) else {
+            return;
+        };
         tokio::spawn(async move {
-            if submit(&member, end, END_TIMEOUT).await.is_err() {
+            if submit(&member, end.into(), END_TIMEOUT).await.is_err() {
                 tracing::warn!(
                     request = id,
                     "end of a turn was not recorded; its full reservation stays charged"
@@ -172,11 +181,8 @@
     }
 }
 
-/// Submits a command, whose content is not held while the journal is awaited.
-async fn submit(member: &Member, command: Command, timeout: Duration) -> Result<(), Unreachable> {
-    let encoded = machine::encode(&command).map_err(|_| Unreachable)?;
-    drop(command);
-    let request = Request::Submit { group: PROGRAMS, command: encoded };
+async fn submit(member: &Member, command: Bytes, timeout: Duration) -> Result<(), Unreachable> {
+    let request = Request::Submit { group: PROGRAMS, command };
     match member.leaders.route(PROGRAMS, &request, timeout).await? {
         Response::Data(_) => Ok(()),
         _ => Err(Unreachable),
@@ -187,7 +193,7 @@
 /// of the turns up to that one.
 async fn submit_begin(
     member: &Member,
-    command: Vec<u8>,
+    command: Bytes,
     previous: Option<String>,
     timeout: Duration,
 ) -> Result<Admission, Unreachable> {
--- a/crates/transport/src/journal.rs
+++ b/crates/transport/src/journal.rs
@@ -63,7 +63,7 @@
         command: &program::Command,
     ) -> Result<program::Reply, Unreachable> {
         let command = machine::encode(command).map_err(|_| Unreachable)?;
-        self.request(group, Request::Submit { group, command }).await
+        self.request(group, Request::Submit { group, command: command.into() }).await
     }
 
     /// Queries a program group.
@@ -81,7 +81,11 @@
         command: &control::Command,
     ) -> Result<control::Reply, Unreachable> {
         let command = machine::encode(command).map_err(|_| Unreachable)?;
-        self.request(CONTROL_GROUP, Request::Submit { group: CONTROL_GROUP, command }).await
+        self.request(
+            CONTROL_GROUP,
+            Request::Submit { group: CONTROL_GROUP, command: command.into() },
+        )
+        .await
     }
 
     /// Queries the control group.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod connections;
 mod controller;
 pub mod endpoint;
+mod frame;
 pub mod gateway;
 mod inspect;
 mod journal;
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -400,7 +400,7 @@
         let initial_members = chosen.iter().map(member).collect();
         match machine::encode(&Command::Bootstrap { group: PROGRAMS, initial_members }) {
             Ok(command) => {
-                let outcome = handle.submit(command).await;
+                let outcome = handle.submit(command.into()).await;
                 tracing::info!(?chosen, ?outcome, "program journal bootstrapped");
             }
             Err(error) => tracing::error!(%error, "cannot encode the initial members"),
--- a/crates/transport/src/member/operators.rs
+++ b/crates/transport/src/member/operators.rs
@@ -126,7 +126,7 @@
 
     async fn submit(&self, command: &Command) -> Result<Reply, Unreachable> {
         let command = machine::encode(command).map_err(|_| Unreachable)?;
-        let request = Request::Submit { group: CONTROL, command };
+        let request = Request::Submit { group: CONTROL, command: command.into() };
         match self.leaders.route(CONTROL, &request, TIMEOUT).await? {
             Response::Data(reply) => machine::decode(&reply).map_err(|_| Unreachable),
             _ => Err(Unreachable),
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -31,8 +31,10 @@
     Body,
     /// Messages of other instances that have not arrived in full.
     Message,
-    /// Events of responses.
+    /// Events of responses, and answers to other instances.
     Response,
+    /// Turns on their way to the journal.
+    Record,
 }
 
 impl Kind {
@@ -42,6 +44,7 @@
             Self::Body => "body",
             Self::Message => "message",
             Self::Response => "response",
+            Self::Record => "record",
         }
     }
 }
@@ -92,7 +95,7 @@
     clock: crate::clock::Clock,
     limit: usize,
     held: AtomicUsize,
-    by_kind: [Gauge; 4],
+    by_kind: [Gauge; 5],
     next: AtomicU64,
     uploads: Mutex<Map<u64, Candidate>>,
     /// Notified when memory is returned.
@@ -109,7 +112,8 @@
             clock: crate::clock::Clock::new(),
             limit: usize::try_from(limit).unwrap_or(usize::MAX),
             held: AtomicUsize::new(0),
-            by_kind: [Kind::Connection, Kind::Body, Kind::Message, Kind::Response].map(gauge),
+            by_kind: [Kind::Connection, Kind::Body, Kind::Message, Kind::Response, Kind::Record]
+                .map(gauge),
             next: AtomicU64::new(0),
             uploads: Mutex::default(),
             returned: Notify::new(),
@@ -182,6 +186,16 @@
         self.bytes
     }
 
+    /// Takes `bytes` off the grant, for another purpose.
+    pub(crate) fn split(&mut self, bytes: usize, kind: Kind) -> Grant {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        let count = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.budget.by_kind[self.kind as usize].dec_by(count);
+        self.budget.by_kind[kind as usize].inc_by(count);
+        Grant { budget: self.budget.clone(), kind, bytes }
+    }
+
     /// Changes the size of the grant; a growth fails if the budget is used up.
     pub(crate) fn try_resize(&mut self, bytes: usize) -> Result<(), Full> {
         match bytes.checked_sub(self.bytes) {
--- a/crates/transport/src/metered.rs
+++ b/crates/transport/src/metered.rs
@@ -54,6 +54,10 @@
 
     fn decode(&mut self, received: &mut BytesMut) -> Result<Option<BytesMut>, Broken> {
         let frame = self.codec.decode(received)?;
+        if frame.as_ref().is_some_and(|frame| frame.len() >= UNCOUNTED_BYTES) {
+            // What follows shares the frame's buffer, which would stay with the connection.
+            *received = BytesMut::from(&received[..]);
+        }
         let held = received.len().saturating_sub(UNCOUNTED_BYTES);
         if held == 0 {
             self.upload = None;
--- a/crates/transport/src/replica/handle.rs
+++ b/crates/transport/src/replica/handle.rs
@@ -1,5 +1,6 @@
 //! Handle to the thread of a replica: the work that it accepts, and the status that it publishes.
 
+use bytes::Bytes;
 use coordination::consensus::{Id, Message};
 use coordination::membership::Candidate;
 use protocol::wire::Envelope;
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Outcome {
     /// Encoded reply of the state machine.
-    Data(Vec<u8>),
+    Data(Bytes),
     /// The local replica does not lead; holds the instance that leads, if it is known.
     NotLeader(Option<String>),
     /// No result is known: the command may or may not take effect.
@@ -36,7 +37,7 @@
     /// Consensus messages received from an instance, with the ids of the sending replicas.
     Messages { instance: String, messages: Vec<(Id, Message)> },
     /// A command to replicate; answered once it is applied.
-    Submit { command: Vec<u8>, arrived_at: Instant, reply: oneshot::Sender<Outcome> },
+    Submit { command: Bytes, arrived_at: Instant, reply: oneshot::Sender<Outcome> },
     /// A linearizable query.
     Query { query: Vec<u8>, arrived_at: Instant, reply: oneshot::Sender<Outcome> },
     /// A query of the state that the local replica has applied, which may be outdated.
@@ -100,7 +101,7 @@
 
 impl Handle {
     /// Replicates a command and returns the reply of the state machine.
-    pub(crate) async fn submit(&self, command: Vec<u8>) -> Outcome {
+    pub(crate) async fn submit(&self, command: Bytes) -> Outcome {
         let (reply, response) = oneshot::channel();
         let arrived_at = Instant::now();
         if self.jobs.send(Job::Submit { command, arrived_at, reply }).is_err() {
@@ -122,9 +123,9 @@
     /// Submits a command, then queries the state that includes its effect.
     pub(crate) async fn submit_then_query(
         &self,
-        command: Vec<u8>,
+        command: Bytes,
         query: Vec<u8>,
-    ) -> Result<(Vec<u8>, Vec<u8>), Outcome> {
+    ) -> Result<(Bytes, Bytes), Outcome> {
         let reply = match self.submit(command).await {
             Outcome::Data(reply) => reply,
             other => return Err(other),
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -4,13 +4,16 @@
 //! that the consensus algorithm returns. Messages that arrive together are handled before a
 //! single sync (group commit).
 
+mod persistence;
+
+use self::persistence::records;
 use crate::clock::{Clock, millis};
 use crate::replica::{Handle, Job, MessageSender, Outcome, Status};
 use crate::storage::{Group, Identity};
 use coordination::Millis;
 use coordination::backlog::{self, Tolerance};
 use coordination::consensus::{
-    Chunk, ChunkRequest, Entry, Id, Message, Meta, Payload, Ready, Refusal, Replacement, Replica,
+    Chunk, ChunkRequest, Entry, Id, Message, Payload, Ready, Refusal, Replacement, Replica,
     Settings,
 };
 use coordination::expiry::Timer;
@@ -18,8 +21,8 @@
 use protocol::wire::Envelope;
 use state::collections::Map;
 use state::error::Storage;
-use state::journal::{Log, Record};
-use state::machine::{self, Class, Export, Import, StateMachine};
+use state::journal::Log;
+use state::machine::{Class, Export, Import, StateMachine};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
@@ -223,8 +226,8 @@
                 }
             }
             Job::QueryApplied { query, reply } => {
-                let view = self.state_machine.query(&query).map_or(Outcome::Unknown, Outcome::Data);
-                drop(reply.send(view));
+                let view = self.state_machine.query(&query);
+                drop(reply.send(view.map_or(Outcome::Unknown, |view| Outcome::Data(view.into()))));
             }
             Job::Join { instance, id } => {
                 let replacement = Replacement::new(&instance, id);
@@ -241,7 +244,7 @@
         match self.state_machine.refusal(command) {
             Some(refusal) => {
                 self.count_refusal("the state has no room for what it would retain");
-                drop(reply.send(Outcome::Data(refusal)));
+                drop(reply.send(Outcome::Data(refusal.into())));
             }
             None => self.refuse(Refusal::Full, reply),
         }
@@ -390,13 +393,9 @@
             self.install(&meta)?;
         }
         let last = ready.entries.last().map(|entry| entry.index);
-        let records = records(
-            ready.hard_state.map(|hard_state| (hard_state.term, hard_state.vote)),
-            ready.truncate,
-            &ready.entries,
-        )?;
-        if !records.is_empty() {
-            self.persist(&records)?;
+        if ready.hard_state.is_some() || ready.truncate.is_some() || last.is_some() {
+            let hard_state = ready.hard_state.map(|hard_state| (hard_state.term, hard_state.vote));
+            self.persist(&mut records(hard_state, ready.truncate, &ready.entries))?;
         }
         if let Some(last) = last {
             self.replica.synced(last);
@@ -463,17 +462,6 @@
         self.import.as_mut().map_or(Ok(()), |import| import.receive(&chunk.data))
     }
 
-    fn persist(&mut self, records: &[Record]) -> Result<(), Storage> {
-        let before = (Instant::now(), self.log.bytes());
-        self.log.append(records)?;
-        let time = before.0.elapsed();
-        self.tolerance.observe_sync(time);
-        self.status.syncs += 1;
-        self.status.sync_micros += u64::try_from(time.as_micros()).unwrap_or(0);
-        self.status.bytes_written += self.log.bytes().saturating_sub(before.1);
-        Ok(())
-    }
-
     fn send(&self, messages: Vec<(Id, Message)>) {
         for (to, message) in messages {
             if let Some(instance) = self.instance_of(to) {
@@ -494,7 +482,7 @@
             Payload::Empty | Payload::Members(_) => return Ok(()),
         };
         if let Some(token) = token {
-            self.reply(token, Outcome::Data(reply));
+            self.reply(token, Outcome::Data(reply.into()));
         }
         Ok(())
     }
@@ -516,55 +504,12 @@
         for (token, _) in ready {
             if let Some(query) = self.queries.remove(&token) {
                 let view = self.state_machine.query(&query)?;
-                self.reply(token, Outcome::Data(view));
+                self.reply(token, Outcome::Data(view.into()));
             }
         }
         Ok(())
     }
 
-    /// Replaces the state and the log by the received snapshot.
-    fn install(&mut self, meta: &Meta) -> Result<(), Storage> {
-        let import = self.import.take().ok_or(Storage::Stopped)?;
-        self.state_machine.import(&import.finish()?)?;
-        self.applied = meta.index;
-        tracing::info!(group = self.group, index = meta.index, "snapshot installed");
-        let saved = self.state_machine.save()?;
-        self.rewrite(meta, saved)
-    }
-
-    /// Replaces the log by a snapshot once its entries exceed the configured size.
-    fn compact_if_large(&mut self) -> Result<(), Storage> {
-        let added = self.log.bytes().saturating_sub(self.rewritten_bytes);
-        if added < self.compact_bytes || self.applied <= self.replica.base_index() {
-            return Ok(());
-        }
-        let saved = self.state_machine.save()?;
-        self.replica.set_state_bytes(self.state_machine.export_bytes(&saved));
-        let meta = self.replica.meta_at(self.applied);
-        self.replica.compact(self.replica.compactable(self.applied));
-        let sent = self.replica.snapshots().map(|(_, index)| index).min();
-        if sent.is_some_and(|index| index < self.replica.base_index()) {
-            tracing::warn!(
-                group = self.group,
-                log_bytes = self.replica.log_bytes(),
-                "a replica needs another snapshot: too many bytes since the one it is sent"
-            );
-        }
-        self.rewrite(&meta, saved)
-    }
-
-    /// Rewrites the log file to hold a snapshot and the entries that follow it.
-    fn rewrite(&mut self, meta: &Meta, state: Vec<u8>) -> Result<(), Storage> {
-        let hard_state = self.replica.hard_state();
-        let snapshot = Record::Snapshot { index: meta.index, meta: machine::encode(meta)?, state };
-        let mut contents = vec![snapshot];
-        let entries = self.replica.entries_after(meta.index);
-        contents.extend(records(Some((hard_state.term, hard_state.vote)), None, &entries)?);
-        self.log.rewrite(&contents)?;
-        self.rewritten_bytes = self.log.bytes();
-        self.state_machine.prune()
-    }
-
     fn publish_status(&mut self) {
         let members = self.replica.members();
         let voters = members.voters.iter().map(|(id, name)| (*id, name.clone(), true));
@@ -595,21 +540,3 @@
         });
     }
 }
-
-/// Encodes a change of the consensus state as records of the log file.
-fn records(
-    hard_state: Option<(u64, Option<Id>)>,
-    truncate: Option<u64>,
-    entries: &[Entry],
-) -> Result<Vec<Record>, Storage> {
-    let mut records = Vec::new();
-    if let Some((term, vote)) = hard_state {
-        let hard_state = coordination::consensus::HardState { term, vote };
-        records.push(Record::Meta(machine::encode(&hard_state)?));
-    }
-    records.extend(truncate.map(Record::Truncate));
-    for entry in entries {
-        records.push(Record::Entry { index: entry.index, body: machine::encode(entry)? });
-    }
-    Ok(records)
-}
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -6,16 +6,14 @@
 //! respond; its connection is then closed and opened again.
 
 use crate::connections::{Connection, Connections};
+use crate::frame::{self, Buffer, Frame, Kind, codec, decode, parse};
 use crate::journal::Unreachable;
-use crate::memory::Budget;
+use crate::memory::{self, Budget, Grant};
 use crate::metered::{Broken, Metered};
 use crate::replica::MessageSender;
 use crate::rpc::Handler;
-use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::StreamExt;
 use protocol::wire::{Envelope, Request, Response};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 use state::collections::Map;
 use std::net::SocketAddr;
@@ -54,10 +52,6 @@
 /// a peer that is gone for good.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Maximum size of a frame, in bytes; leaves a wide margin above a configuration of 4 MiB and
-/// the message that contains it.
-const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
-
 /// Maximum number of frames that wait for one peer; further ones are dropped, as on a lossy
 /// network.
 const MAX_QUEUED_FRAMES: usize = 2_048;
@@ -71,73 +65,10 @@
 /// frames are queued.
 const WRITE_BUFFER_BYTES: usize = 256 * 1024;
 
-/// Kind of a frame.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
-enum Kind {
-    /// Address of the sender; the first frame of a connection.
-    Hello = 1,
-    /// A request that gets no reply.
-    OneWay = 2,
-    /// A request that gets a reply.
-    Call = 3,
-    /// The reply to the call with the same number.
-    Reply = 4,
-    /// Requests a pong.
-    Ping = 5,
-    /// The reply to a ping.
-    Pong = 6,
-}
-
-impl Kind {
-    fn from_byte(byte: u8) -> Option<Self> {
-        let all = [Self::Hello, Self::OneWay, Self::Call, Self::Reply, Self::Ping, Self::Pong];
-        all.into_iter().find(|kind| *kind as u8 == byte)
-    }
-}
-
-/// Appends a frame: length (4 bytes), kind (1 byte), call number (8 bytes) and body. Returns
-/// `false` if the body cannot be encoded or is too large.
-fn put_frame<T: Serialize>(buffer: &mut BytesMut, kind: Kind, number: u64, body: &T) -> bool {
-    let Ok(body) = postcard::to_stdvec(body) else {
-        return false;
-    };
-    let len = body.len() + 9;
-    let Some(len) = u32::try_from(len).ok().filter(|_| len <= MAX_FRAME_BYTES) else {
-        return false;
-    };
-    buffer.reserve(body.len() + 13);
-    buffer.put_u32(len);
-    buffer.put_u8(kind as u8);
-    buffer.put_u64(number);
-    buffer.put_slice(&body);
-    true
-}
-
-fn encode<T: Serialize>(kind: Kind, number: u64, body: &T) -> Option<Bytes> {
-    let mut buffer = BytesMut::new();
-    put_frame(&mut buffer, kind, number, body).then(|| buffer.freeze())
-}
-
-/// Splits a frame without its length into kind, call number and body.
-fn parse(frame: &[u8]) -> Option<(Kind, u64, &[u8])> {
-    let kind = Kind::from_byte(*frame.first()?)?;
-    let number = u64::from_be_bytes(frame.get(1..9)?.try_into().ok()?);
-    Some((kind, number, &frame[9..]))
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
-    postcard::from_bytes(body).ok()
-}
-
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
-}
-
 /// Frame to send to a peer.
 enum Outgoing {
-    OneWay(Bytes),
-    Call { number: u64, frame: Bytes, reply: oneshot::Sender<Response> },
+    OneWay(Frame),
+    Call { number: u64, frame: Frame, reply: oneshot::Sender<Response> },
 }
 
 /// Queue of the frames for one peer.
@@ -199,7 +130,7 @@
             return tokio::time::timeout(timeout, response).await.map_err(|_| Unreachable);
         }
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
-        let frame = encode(Kind::Call, number, request).ok_or(Unreachable)?;
+        let frame = Frame::encode(Kind::Call, number, request).ok_or(Unreachable)?;
         let (reply, response) = oneshot::channel();
         self.send(0, to, Outgoing::Call { number, frame, reply })?;
         let response = tokio::time::timeout(timeout, response).await.map_err(|_| Unreachable)?;
@@ -309,12 +240,22 @@
                     }
                 }
                 Kind::Call => {
-                    let request = decode(body).ok_or("call cannot be decoded")?;
                     let handler = self.handler.get().cloned().ok_or("the instance is starting")?;
+                    let grant = self.grant_call(body.len());
+                    let request = match &grant {
+                        Ok(_) => Some(decode(body).ok_or("call cannot be decoded")?),
+                        Err(memory::Full) => None,
+                    };
                     let (from, replies) = (from.clone(), replies.clone());
+                    let busy = Response::NotLeader(Some(self.address.clone()));
                     tokio::spawn(async move {
-                        let response = handler.handle(from, request).await;
-                        if let Some(frame) = encode(Kind::Reply, number, &response) {
+                        let response = match request {
+                            Some(request) => handler.handle(from, request).await,
+                            // The sender repeats it after a pause, as if the leader were behind.
+                            None => busy,
+                        };
+                        drop(grant);
+                        if let Some(frame) = Frame::encode(Kind::Reply, number, &response) {
                             // The queue is full if the peer does not read. The reply is then
                             // dropped; the peer repeats its request.
                             drop(replies.try_send(frame));
@@ -322,7 +263,7 @@
                     });
                 }
                 Kind::Ping => {
-                    if let Some(frame) = encode(Kind::Pong, number, &()) {
+                    if let Some(frame) = Frame::encode(Kind::Pong, number, &()) {
                         drop(replies.try_send(frame));
                     }
                 }
@@ -330,6 +271,16 @@
             }
         }
     }
+
+    /// Takes the memory for a call that has arrived, until it is answered. At most half of what is left,
+    /// so that others can arrive meanwhile.
+    fn grant_call(&self, bytes: usize) -> Result<Grant, memory::Full> {
+        let mut grant = self.budget.grant(memory::Kind::Message);
+        if bytes >= frame::MIN_PART_BYTES {
+            grant.grow_response(bytes)?;
+        }
+        Ok(grant)
+    }
 }
 
 impl MessageSender for Transport {
@@ -338,7 +289,8 @@
     }
 
     fn send_on(&self, lane: usize, to: &str, envelope: Envelope) {
-        if let Some(frame) = encode(Kind::OneWay, 0, &Request::Consensus(vec![envelope])) {
+        let request = Request::Consensus(vec![envelope]);
+        if let Some(frame) = Frame::encode(Kind::OneWay, 0, &request) {
             // A message may be lost; consensus repeats it.
             let _ = Transport::send(self, lane, to, Outgoing::OneWay(frame));
         }
@@ -373,22 +325,29 @@
 
 /// Writes queued frames, several at once if possible. Ends when the queue is closed or a write
 /// fails.
-async fn write_frames(mut output: OwnedWriteHalf, mut outbox: mpsc::Receiver<Bytes>) {
-    let mut buffer = BytesMut::new();
+async fn write_frames(mut output: OwnedWriteHalf, mut outbox: mpsc::Receiver<Frame>) {
+    let mut buffer = Buffer::default();
     while let Some(frame) = outbox.recv().await {
-        buffer.extend_from_slice(&frame);
+        buffer.push(frame);
         while buffer.len() < WRITE_BUFFER_BYTES
             && let Ok(frame) = outbox.try_recv()
         {
-            buffer.extend_from_slice(&frame);
+            buffer.push(frame);
         }
-        if output.write_all(&buffer).await.is_err() {
+        if write(&mut output, &mut buffer).await.is_err() {
             return;
         }
-        buffer.clear();
     }
 }
 
+/// Writes what is in the buffer; each part is released once it is written.
+async fn write(output: &mut OwnedWriteHalf, buffer: &mut Buffer) -> std::io::Result<()> {
+    for part in buffer.take() {
+        output.write_all(&part).await?;
+    }
+    Ok(())
+}
+
 /// Connects to one peer whenever there is something to send.
 struct Client {
     /// Address of this instance.
@@ -453,13 +412,15 @@
         let mut session = Session {
             frames: FramedRead::new(input, codec()),
             output,
-            buffer: BytesMut::new(),
+            buffer: Buffer::default(),
             pending: Map::default(),
             awaits_response: false,
             last_received: Instant::now(),
         };
-        session.buffer.put_slice(&PREFACE);
-        put_frame(&mut session.buffer, Kind::Hello, 0, &self.local);
+        session.buffer.put(&PREFACE);
+        if let Some(hello) = Frame::encode(Kind::Hello, 0, &self.local) {
+            session.buffer.push(hello);
+        }
         session.push(first);
         let mut pings = tokio::time::interval(PING_INTERVAL);
         pings.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -491,7 +452,9 @@
                     if session.last_received.elapsed() > RESPONSE_TIMEOUT {
                         return "the peer is silent";
                     }
-                    put_frame(&mut session.buffer, Kind::Ping, 0, &());
+                    if let Some(ping) = Frame::encode(Kind::Ping, 0, &()) {
+                        session.buffer.push(ping);
+                    }
                 }
             }
         }
@@ -502,7 +465,7 @@
 struct Session {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
     output: OwnedWriteHalf,
-    buffer: BytesMut,
+    buffer: Buffer,
     /// Reply channels of the unanswered calls, by call number.
     pending: Map<u64, oneshot::Sender<Response>>,
     /// Whether the peer has yet to send a reply or a pong.
@@ -515,14 +478,18 @@
 impl Session {
     /// Adds a frame to the write buffer.
     fn push(&mut self, outgoing: Outgoing) {
+        if matches!(&outgoing, Outgoing::Call { reply, .. } if reply.is_closed()) {
+            // Its sender has given up while it was queued.
+            return;
+        }
         if !self.awaits_response {
             self.awaits_response = true;
             self.last_received = Instant::now();
         }
         match outgoing {
-            Outgoing::OneWay(frame) => self.buffer.put_slice(&frame),
+            Outgoing::OneWay(frame) => self.buffer.push(frame),
             Outgoing::Call { number, frame, reply } => {
-                self.buffer.put_slice(&frame);
+                self.buffer.push(frame);
                 self.pending.retain(|_, reply| !reply.is_closed());
                 self.pending.insert(number, reply);
             }
@@ -534,10 +501,8 @@
         if self.buffer.is_empty() {
             return true;
         }
-        let written =
-            tokio::time::timeout(RESPONSE_TIMEOUT, self.output.write_all(&self.buffer)).await;
-        self.buffer.clear();
-        matches!(written, Ok(Ok(())))
+        let written = write(&mut self.output, &mut self.buffer);
+        matches!(tokio::time::timeout(RESPONSE_TIMEOUT, written).await, Ok(Ok(())))
     }
 
     /// Handles a frame from the peer; returns `false` if it is invalid.
