fix(transport): the content of a line of turns is read in parts

For each turn it read the whole line, and held content, encoded answer, response, frame and write buffer, for as many turns as asked, again for each repetition; nothing bounded it. Change: the begin of a turn asks for the first 256 KiB of the content, which covers the lines of ordinary programs; the entry takes the memory for the rest from its budget and reads it in parts. An answer of some length takes its memory before it is read from the disk, until it is written; without memory the first part comes later, and a part is asked for again after a pause. A turn for whose content there is no memory within the time that it may wait for a server is refused as not executed. Earlier builds ignore the range and answer with all of it, which is understood; their queries are answered as before. Conclusion: a store holds one part for each answer under way, within its budget; an entry holds one copy of the content of each turn that it sends.

--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -129,7 +129,8 @@
     Done,
     /// Encoded reply of a replica group.
     Data(Bytes),
-    /// Encoded replies to the command and to the query of [`Request::SubmitThenQuery`].
+    /// Encoded replies to the command and to the query of [`Request::SubmitThenQuery`]. The latter is
+    /// empty if there was no memory for it; the query may be repeated then.
     SubmitThenQuery(Bytes, Bytes),
     /// Reply to a heartbeat.
     HeartbeatReply(Box<crate::presence::Reply>),
--- a/crates/protocol/tests/encodings.rs
+++ b/crates/protocol/tests/encodings.rs
@@ -381,7 +381,12 @@
     check("turn-assign", &turn::Command::Assign(assign));
     let expiry = turn::Command::End(End { now_ms: 1_100_000, ..End::default() });
     check("turn-expiry", &expiry);
-    check("turn-query", &turn::Query::Chain("t2".into()));
+    let query = turn::Query::Chain("t2".into());
+    check("turn-query", &query);
+    let range = turn::Range { offset: 300, len: 262_144 };
+    let ranged = query.encode_range(range).unwrap();
+    assert_eq!(hex(&ranged), hex(&example("turn-query-range")));
+    assert_eq!(machine::decode::<turn::Query>(&ranged).unwrap(), query);
     let assignment = Assignment { origin, revision: 2 };
     let replies = [
         turn::Reply::Done,
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -23,6 +23,9 @@
 /// Size at which [`Store::append_all`] writes its buffer, in bytes; limits its memory use.
 const WRITE_BUFFER_BYTES: usize = 1024 * 1024;
 
+/// Size of the blocks in which the checksum of an item is verified, in bytes.
+const VERIFY_BLOCK_BYTES: usize = 64 * 1024;
+
 /// Location and checksum of an item.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Locator {
@@ -71,6 +74,19 @@
     /// Returns [`Storage::Corrupt`] if the item is missing or does not match its checksum.
     fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage>;
 
+    /// Reads `len` bytes of an item from `offset` on. The checksum of the whole item is verified with its
+    /// first bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::read`].
+    fn read_part(&self, locator: &Locator, offset: u64, len: usize) -> Result<Vec<u8>, Storage> {
+        let start = usize::try_from(offset).map_err(|_| corrupt(locator))?;
+        let mut item = self.read(locator)?;
+        item.truncate(start.saturating_add(len));
+        Ok(item.split_off(start.min(item.len())))
+    }
+
     /// Appends items in order, combining them into few writes.
     ///
     /// # Errors
@@ -258,6 +274,25 @@
 }
 
 impl Files {
+    fn segment_of(&self, locator: &Locator) -> Result<&File, Storage> {
+        self.segments.get(&locator.segment).map(Arc::as_ref).ok_or_else(|| corrupt(locator))
+    }
+
+    /// Verifies the checksum of an item, which need not fit into memory.
+    fn verify(&self, locator: &Locator) -> Result<(), Storage> {
+        let (file, mut hasher) = (self.segment_of(locator)?, crc32fast::Hasher::new());
+        let (mut offset, mut left) = (locator.offset, locator.len);
+        let mut block = vec![0; VERIFY_BLOCK_BYTES];
+        while left > 0 {
+            let len = usize::try_from(left).map_or(block.len(), |left| left.min(block.len()));
+            file.read_exact_at(&mut block[..len], offset)?;
+            hasher.update(&block[..len]);
+            offset += len as u64;
+            left -= len as u64;
+        }
+        if hasher.finalize() == locator.crc { Ok(()) } else { Err(corrupt(locator)) }
+    }
+
     /// Writes the buffer to the current segment and clears it.
     fn flush(&mut self, buffer: &mut Vec<u8>) -> Result<(), Storage> {
         self.active_segment()?.write_all_at(buffer, self.end.offset)?;
@@ -294,7 +329,7 @@
     }
 
     fn read(&self, locator: &Locator) -> Result<Vec<u8>, Storage> {
-        let file = self.segments.get(&locator.segment).ok_or_else(|| corrupt(locator))?;
+        let file = self.segment_of(locator)?;
         let mut item = vec![0; usize::try_from(locator.len).map_err(|_| corrupt(locator))?];
         file.read_exact_at(&mut item, locator.offset)?;
         if crc32fast::hash(&item) != locator.crc {
@@ -303,6 +338,17 @@
         Ok(item)
     }
 
+    fn read_part(&self, locator: &Locator, offset: u64, len: usize) -> Result<Vec<u8>, Storage> {
+        if offset == 0 {
+            self.verify(locator)?;
+        }
+        let left = locator.len.saturating_sub(offset);
+        let len = usize::try_from(left).map_or(len, |left| left.min(len));
+        let mut part = vec![0; len];
+        self.segment_of(locator)?.read_exact_at(&mut part, locator.offset + offset)?;
+        Ok(part)
+    }
+
     fn append_all(&mut self, items: &[&[u8]]) -> Result<Vec<Locator>, Storage> {
         let mut locators = Vec::with_capacity(items.len());
         let mut buffer = Vec::new();
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -111,6 +111,11 @@
         None
     }
 
+    /// Upper bound of the answer to the encoded query `data`, in bytes; 0 for one of ordinary size.
+    fn answer_bytes(&self, _data: &[u8]) -> usize {
+        0
+    }
+
     /// Answers the encoded query `data` from the applied state.
     ///
     /// # Errors
--- a/crates/state/src/turn/command.rs
+++ b/crates/state/src/turn/command.rs
@@ -4,6 +4,7 @@
 use crate::machine;
 use crate::turn::stream::{Assignment, Origin, Start};
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
 /// A change to the turn journal. Each command is idempotent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -207,6 +208,71 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Query {
     /// Concatenated content of the given turn and all turns before it, oldest first; answered
-    /// by `Option<Vec<u8>>`, which is `None` if a turn of the chain is not retained.
+    /// by `Option<Vec<u8>>`, which is `None` if a turn of the chain is not retained. If a [`Range`]
+    /// follows, it is answered by a [`Part`]; earlier builds ignore it.
     Chain(String),
 }
+
+impl Query {
+    /// Encodes a query of a range of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Storage::Codec`] if the query cannot be encoded.
+    pub fn encode_range(&self, range: Range) -> Result<Vec<u8>, Storage> {
+        let mut encoded = machine::encode(self)?;
+        machine::encode_into(&range, &mut encoded)?;
+        Ok(encoded)
+    }
+}
+
+/// Range of the content of a chain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Range {
+    /// Offset of its first byte.
+    pub offset: u64,
+    /// Maximum length, in bytes.
+    pub len: u64,
+}
+
+/// Part of the content of a chain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// The bytes of the range.
+    pub content: Vec<u8>,
+    /// Length of the whole content, in bytes.
+    pub total: u64,
+}
+
+impl Part {
+    /// Encodes the answer to a query of a range.
+    pub(crate) fn encode(part: Option<Self>) -> Result<Vec<u8>, Storage> {
+        let Some(Self { content, total }) = part else {
+            return machine::encode(&None::<ByteBuf>);
+        };
+        // As a chain in full, so that a reader tells one from the other by what follows.
+        let mut encoded = machine::encode(&Some(ByteBuf::from(content)))?;
+        machine::encode_into(&total, &mut encoded)?;
+        Ok(encoded)
+    }
+
+    /// Reads the answer to a query of a range. An earlier build answers with the whole content, whose
+    /// bytes before `offset` are removed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Storage::Codec`] if it cannot be decoded.
+    pub fn decode(answer: &[u8], offset: u64) -> Result<Option<Self>, Storage> {
+        let (content, rest): (Option<ByteBuf>, _) = machine::decode_first(answer)?;
+        let Some(mut content) = content.map(ByteBuf::into_vec) else {
+            return Ok(None);
+        };
+        if !rest.is_empty() {
+            return Ok(Some(Self { content, total: machine::decode(rest)? }));
+        }
+        let total = content.len() as u64;
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(content.len());
+        content.drain(..start);
+        Ok(Some(Self { content, total }))
+    }
+}
--- a/crates/state/src/turn/machine.rs
+++ b/crates/state/src/turn/machine.rs
@@ -8,7 +8,7 @@
 use crate::history::{Locator, Position, Store};
 use crate::machine::{self, Class, Export, Import, StateMachine};
 use crate::turn::command::{
-    Assign, Begin, Command, End, Kind, Need, Query, Record, Reply, Reservation,
+    Assign, Begin, Command, End, Kind, Need, Part, Query, Range, Record, Reply, Reservation,
 };
 use crate::turn::room::Room;
 use crate::turn::stream::{Assignment, Origin, Start, Streams};
@@ -329,20 +329,46 @@
     ///
     /// Returns a storage error if the content of a turn cannot be read.
     pub fn chain(&self, id: &str) -> Result<Option<Vec<u8>>, Storage> {
+        let whole = Range { offset: 0, len: u64::MAX };
+        Ok(self.chain_part(id, whole)?.map(|part| part.content))
+    }
+
+    /// As [`Turns::chain`], but returns a part of the content.
+    ///
+    /// # Errors
+    ///
+    /// As [`Turns::chain`].
+    pub fn chain_part(&self, id: &str, range: Range) -> Result<Option<Part>, Storage> {
+        let Some(items) = self.items(id) else {
+            return Ok(None);
+        };
+        let total = items.iter().map(|item| item.len).sum::<u64>();
+        let end = range.offset.saturating_add(range.len).min(total);
+        let len = end.saturating_sub(range.offset);
+        let mut content = Vec::with_capacity(usize::try_from(len).unwrap_or(0));
+        let mut start = 0;
+        for item in items.iter().rev() {
+            let (from, to) = (range.offset.max(start), end.min(start + item.len));
+            if from < to {
+                let len = usize::try_from(to - from).unwrap_or(usize::MAX);
+                content.extend_from_slice(&self.history.read_part(item, from - start, len)?);
+            }
+            start += item.len;
+        }
+        Ok(Some(Part { content, total }))
+    }
+
+    /// Locations of the content of a turn and all turns before it, latest first; `None` if one of them is
+    /// not retained or the chain is longer than `MAX_CHAIN_TURNS`.
+    fn items(&self, id: &str) -> Option<Vec<Locator>> {
         let mut items = Vec::new();
         let mut next = Some(id);
         while let Some(id) = next {
-            let Some(turn) = self.retained.get(id).filter(|_| items.len() < MAX_CHAIN_TURNS) else {
-                return Ok(None);
-            };
+            let turn = self.retained.get(id).filter(|_| items.len() < MAX_CHAIN_TURNS)?;
             items.push(turn.item);
             next = turn.previous.as_deref();
         }
-        let mut content = Vec::new();
-        for item in items.iter().rev() {
-            content.extend_from_slice(&self.history.read(item)?);
-        }
-        Ok(Some(content))
+        Some(items)
     }
 
     fn snapshot(&self, history: Position) -> Snapshot {
@@ -413,9 +439,22 @@
         has_expired.then(|| machine::encode(&Command::End(end)).ok()).flatten()
     }
 
+    fn answer_bytes(&self, data: &[u8]) -> usize {
+        let Ok((Query::Chain(id), rest)) = machine::decode_first(data) else {
+            return 0;
+        };
+        let total = self.items(&id).unwrap_or_default().iter().map(|item| item.len).sum::<u64>();
+        let range = machine::decode(rest).unwrap_or(Range { offset: 0, len: u64::MAX });
+        let len = total.saturating_sub(range.offset).min(range.len);
+        usize::try_from(len).unwrap_or(usize::MAX)
+    }
+
     fn query(&self, data: &[u8]) -> Result<Vec<u8>, Storage> {
-        let Query::Chain(id) = machine::decode(data)?;
-        machine::encode(&self.chain(&id)?.map(ByteBuf::from))
+        let (Query::Chain(id), rest) = machine::decode_first(data)?;
+        if rest.is_empty() {
+            return machine::encode(&self.chain(&id)?.map(ByteBuf::from));
+        }
+        Part::encode(self.chain_part(&id, machine::decode(rest)?)?)
     }
 
     fn reset(&mut self) -> Result<(), Storage> {
--- a/crates/state/src/turn/mod.rs
+++ b/crates/state/src/turn/mod.rs
@@ -13,7 +13,7 @@
 mod transfer;
 
 pub use command::{
-    Assign, Begin, Command, End, Need, Query, Record, Reply, Reservation, UNRETAINED,
+    Assign, Begin, Command, End, Need, Part, Query, Range, Record, Reply, Reservation, UNRETAINED,
 };
 pub use machine::{MAX_RETAINED_BYTES, Turns};
 pub use stream::{Assignment, Origin, Start};
--- a/crates/state/tests/turns.rs
+++ b/crates/state/tests/turns.rs
@@ -4,8 +4,8 @@
 use state::history::{Files, Memory};
 use state::machine::{Class, StateMachine};
 use state::turn::{
-    Assign, Assignment, Begin, Command, End, Need, Origin, Record, Reply, Reservation, Start,
-    Turns, UNRETAINED,
+    Assign, Assignment, Begin, Command, End, Need, Origin, Part, Query, Range, Record, Reply,
+    Reservation, Start, Turns, UNRETAINED,
 };
 
 const RETENTION_MS: u64 = 60_000;
@@ -481,6 +481,50 @@
     }
 }
 
+// The content of a line was read and copied in one piece for each turn that continued from it.
+#[test]
+fn content_of_a_line_is_read_in_parts() {
+    let folder = tempfile::tempdir().unwrap();
+    let files = state::history::Files::open(folder.path()).unwrap();
+    let mut turns = Turns::new(Box::new(files));
+    let mut whole = Vec::new();
+    let mut previous = None;
+    for (number, length) in [300_000, 0, 17, 200_000].into_iter().enumerate() {
+        let content: Vec<u8> = (0..length).map(|byte| (byte * 7 + number) as u8).collect();
+        whole.extend_from_slice(&content);
+        let record = Record { previous: previous.clone(), content, retention_ms: 60_000 };
+        let turn = format!("t{number}");
+        previous = Some(turn.clone());
+        turns
+            .execute(Command::End(End {
+                turn,
+                record: Some(record),
+                now_ms: 1_000,
+                ..End::default()
+            }))
+            .unwrap();
+    }
+    let query = Query::Chain("t3".into());
+    let (mut read, mut parts) = (Vec::new(), 0);
+    while read.len() < whole.len() {
+        let range = Range { offset: read.len() as u64, len: 65_536 };
+        let query = query.encode_range(range).unwrap();
+        assert!(turns.answer_bytes(&query) <= 65_536);
+        let part = Part::decode(&turns.query(&query).unwrap(), range.offset).unwrap().unwrap();
+        assert_eq!(part.total, whole.len() as u64);
+        assert!(part.content.len() <= 65_536 && !part.content.is_empty());
+        read.extend_from_slice(&part.content);
+        parts += 1;
+    }
+    assert!(read == whole && parts == 8, "{parts} parts");
+    // An earlier build answers with all of it, whatever the range.
+    let earlier = turns.query(&state::machine::encode(&query).unwrap()).unwrap();
+    let part = Part::decode(&earlier, 300_000).unwrap().unwrap();
+    assert!(part.content == whole[300_000..] && part.total == whole.len() as u64);
+    let unknown = Query::Chain("x".into()).encode_range(Range { offset: 0, len: 9 }).unwrap();
+    assert_eq!(Part::decode(&turns.query(&unknown).unwrap(), 0).unwrap(), None);
+}
+
 #[test]
 fn programs_under_way_and_ends_are_told_from_new_work() {
     let mut turns = turns();
--- a/crates/transport/src/bootstrap.rs
+++ b/crates/transport/src/bootstrap.rs
@@ -63,6 +63,7 @@
             opened,
             message_sender: transport.clone(),
             planner: None,
+            budget: None,
         };
         groups.insert(group, replica::start(config).map_err(Error::new)?);
     }
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -17,12 +17,12 @@
 use crate::gateway::loss::Subject;
 use crate::gateway::origin::Versions;
 use crate::gateway::relay::{Abort, Body, Draft, Params, Progress, Relay};
-use crate::gateway::sending::Outbound;
+use crate::gateway::sending::{Outbound, PLACEMENT_SHARE};
 use crate::gateway::server::{Phase, wait_for_phase};
-use crate::gateway::turns::{Admission, Turn};
+use crate::gateway::turns::{Admission, Prior, Turn, read_content};
 use crate::gateway::usage::Permit;
-use crate::memory::Grant;
-use bytes::{Bytes, BytesMut};
+use crate::memory::{Grant, Kind as Purpose};
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
 use protocol::organisations::{KeyDigest, Organisation};
@@ -190,8 +190,8 @@
 #[derive(Default)]
 struct Begun {
     turn: Option<Turn>,
-    /// Content of the preceding turns, to be sent before the request body.
-    prior: Vec<u8>,
+    /// Content of the preceding turns, followed by the request body; `None` if there are none.
+    content: Option<Bytes>,
     /// Id of the backend server that executed the program's previous turn and may hold its
     /// cache.
     holder: Option<String>,
@@ -299,13 +299,13 @@
         let start = self.start_of_stream(metadata, &route, service)?;
         let begun = self.begin(metadata, &route, start, &body, deadline).await?;
         let service = self.bind_to_origin(metadata, &route, service, begun.stream)?;
-        let Begun { mut turn, prior, holder, .. } = begun;
+        let Begun { mut turn, content, holder, .. } = begun;
         let caller = metadata.program.as_ref().or(metadata.session.as_ref());
         let subject = Arc::new(Subject {
             method: head.method.clone(),
             host: self.scope_id(&metadata.host),
             path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
-            body: concatenate(&prior, &body),
+            body: content.unwrap_or_else(|| body.clone()),
             caller: caller.cloned(),
         });
         let outbound = Outbound {
@@ -430,7 +430,7 @@
         let begin = Begin {
             turn: self.scope_id(&metadata.id),
             reservation,
-            previous,
+            previous: previous.clone(),
             retention_ms: millis(route.retention),
             start,
             now_ms: 0,
@@ -445,7 +445,11 @@
         self.entry.metrics.journal.observe(started.elapsed().as_secs_f64());
         match admission {
             Ok(Admission::Open { prior, holder, stream }) => {
-                Ok(Begun { turn: Some(turn), prior, holder, stream })
+                let content = match previous {
+                    Some(previous) => self.content(&previous, prior, body, deadline).await?,
+                    None => None,
+                };
+                Ok(Begun { turn: Some(turn), content, holder, stream })
             }
             Ok(Admission::NoRoom { retry_after }) => {
                 let detail = "the journal has no room to retain the turn";
@@ -474,6 +478,61 @@
         }
     }
 
+    /// Takes memory for the content of a turn, for which the request waits as long as for a server.
+    async fn reserve(&self, bytes: usize, deadline: Instant) -> Result<Grant, Error> {
+        let budget = &self.entry.member.budget;
+        let mut grant = budget.grant(Purpose::Body);
+        let now = Instant::now();
+        let until = now + deadline.saturating_duration_since(now).mul_f64(PLACEMENT_SHARE);
+        if grant.resize_until(bytes, until).await.is_err() {
+            budget.metrics.give_up("turn without memory");
+            let detail = "there is no memory for the content of the turn";
+            return Err(Refusal::retryable(Kind::Overloaded, RETRY_AFTER, detail).into());
+        }
+        Ok(grant)
+    }
+
+    /// Returns the content of the turns up to `previous`, followed by the body. It is held once, in memory
+    /// that is taken before it is read.
+    async fn content(
+        &self,
+        previous: &str,
+        prior: Prior,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, Error> {
+        let member = &self.entry.member;
+        let read = async |offset: u64| {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            let part = read_content(member, previous, offset, remaining.mul_f64(JOURNAL_SHARE));
+            part.await.map_err(|error| {
+                Refusal::retryable(Kind::Unavailable, JOURNAL_RETRY_AFTER, error.to_string())
+            })
+        };
+        let first = match prior {
+            Prior::Nothing => return Ok(None),
+            Prior::First(part) => part,
+            Prior::Later => read(0).await?,
+        };
+        let total = usize::try_from(first.total).unwrap_or(usize::MAX);
+        let bytes = total.saturating_add(body.len());
+        let grant = self.reserve(bytes, deadline).await?;
+        let mut content = Vec::with_capacity(bytes);
+        content.extend_from_slice(&first.content);
+        drop(first);
+        while content.len() < total {
+            let part = read(content.len() as u64).await?;
+            if part.content.is_empty() || part.content.len() > total - content.len() {
+                let detail = "the content of the turns before changed while it was read";
+                let pause = JOURNAL_RETRY_AFTER;
+                return Err(Refusal::retryable(Kind::Unavailable, pause, detail).into());
+            }
+            content.extend_from_slice(&part.content);
+        }
+        content.extend_from_slice(body);
+        Ok(Some(Bytes::from_owner(body::Held::new(content, grant))))
+    }
+
     /// Builds the response to the caller, whose body is relayed as it arrives.
     fn relay(self, answered: Answered, in_flight: InFlight) -> Response<Body> {
         let Answered { response, attempt, turn, draft, is_stream, .. } = answered;
@@ -523,14 +582,3 @@
     let is_known = max_tokens > 0 && tokens_per_event > 0;
     is_known.then(|| max_tokens.div_ceil(tokens_per_event))
 }
-
-/// Returns the content of the preceding turns followed by the request body.
-fn concatenate(prior: &[u8], body: &Bytes) -> Bytes {
-    if prior.is_empty() {
-        return body.clone();
-    }
-    let mut content = BytesMut::with_capacity(prior.len() + body.len());
-    content.extend_from_slice(prior);
-    content.extend_from_slice(body);
-    content.freeze()
-}
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -10,9 +10,10 @@
 use crate::member::PROGRAMS;
 use bytes::Bytes;
 use protocol::wire::{Request, Response};
-use serde_bytes::ByteBuf;
 use state::machine;
-use state::turn::{Assign, Assignment, Begin, Command, End, Need, Origin, Query, Record, Reply};
+use state::turn::{
+    Assign, Assignment, Begin, Command, End, Need, Origin, Part, Query, Range, Record, Reply,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,13 +21,28 @@
 /// that a journal needs to elect a new leader after it has lost one.
 const END_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Length of the parts in which the content of the turns before one is read, in bytes; more than that of
+/// an ordinary program, so that it comes with the reply to the begin.
+const PART_BYTES: u64 = 256 * 1024;
+
+/// Content of the turns before one.
+#[derive(Debug)]
+pub(crate) enum Prior {
+    /// There are none.
+    Nothing,
+    /// Its first part.
+    First(Part),
+    /// The journal had no memory for its first part.
+    Later,
+}
+
 /// Reply of the journal to the begin of a turn.
 #[derive(Debug)]
 pub(crate) enum Admission {
     /// The turn has begun and may be dispatched.
     Open {
         /// Content of the preceding turns.
-        prior: Vec<u8>,
+        prior: Prior,
         /// Id of the backend server that executed the program's previous turn.
         holder: Option<String>,
         /// Origin of the turn's stream; `None` if it has none yet or needs none.
@@ -189,8 +205,30 @@
     }
 }
 
-/// Submits the encoded begin of a turn and, if it continues from a `previous` turn, queries the content
-/// of the turns up to that one.
+/// Reads the part of the content of a turn and all turns before it that begins at `offset`.
+pub(crate) async fn read_content(
+    member: &Member,
+    turn: &str,
+    offset: u64,
+    timeout: Duration,
+) -> Result<Part, Unreachable> {
+    let query = encode_query(turn, offset)?;
+    let request = Request::Query { group: PROGRAMS, query };
+    match member.leaders.route(PROGRAMS, &request, timeout).await? {
+        Response::Data(view) => {
+            Part::decode(&view, offset).map_err(|_| Unreachable)?.ok_or(Unreachable)
+        }
+        _ => Err(Unreachable),
+    }
+}
+
+fn encode_query(turn: &str, offset: u64) -> Result<Vec<u8>, Unreachable> {
+    let range = Range { offset, len: PART_BYTES };
+    Query::Chain(turn.to_owned()).encode_range(range).map_err(|_| Unreachable)
+}
+
+/// Submits the encoded begin of a turn and, if it continues from a `previous` turn, queries the first
+/// part of the content of the turns up to that one.
 async fn submit_begin(
     member: &Member,
     command: Bytes,
@@ -199,25 +237,25 @@
 ) -> Result<Admission, Unreachable> {
     let group = PROGRAMS;
     let request = match &previous {
-        Some(turn) => {
-            let query = machine::encode(&Query::Chain(turn.clone())).map_err(|_| Unreachable)?;
-            Request::SubmitThenQuery { group, command, query }
-        }
+        Some(turn) => Request::SubmitThenQuery { group, command, query: encode_query(turn, 0)? },
         None => Request::Submit { group, command },
     };
-    let (reply, chain) = match member.leaders.route(group, &request, timeout).await? {
+    let (reply, view) = match member.leaders.route(group, &request, timeout).await? {
         Response::Data(reply) => (reply, None),
         Response::SubmitThenQuery(reply, view) => (reply, Some(view)),
         Response::NotLeader(_) => return Ok(Admission::Refused),
         _ => return Err(Unreachable),
     };
-    let chain: Option<ByteBuf> = match chain {
-        Some(view) => machine::decode(&view).map_err(|_| Unreachable)?,
-        None => Some(ByteBuf::new()),
-    };
     match machine::decode(&reply).map_err(|_| Unreachable)? {
         Reply::Begun { server, stream } => {
-            let prior = chain.ok_or(Unreachable)?.into_vec();
+            let prior = match view {
+                None => Prior::Nothing,
+                Some(view) if view.is_empty() => Prior::Later,
+                Some(view) => {
+                    let part = Part::decode(&view, 0).map_err(|_| Unreachable)?;
+                    Prior::First(part.ok_or(Unreachable)?)
+                }
+            };
             Ok(Admission::Open { prior, holder: server, stream })
         }
         Reply::NoRoom { retry_ms } => {
--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -213,7 +213,8 @@
 
     /// Starts the replica and the tasks that depend on it.
     fn start_replica(self: &Arc<Self>, group: u32, replica: Replica) -> Result<(), Error> {
-        let handle = replica.start(&self.settings, self.clock, self.transport.clone());
+        let transport = self.transport.clone();
+        let handle = replica.start(&self.settings, self.clock, transport, &self.budget);
         let handle = handle.map_err(Error::new)?;
         tokio::spawn(watch_fault(handle.clone()));
         if group == CONTROL {
--- a/crates/transport/src/member/replica.rs
+++ b/crates/transport/src/member/replica.rs
@@ -4,6 +4,7 @@
 //! the role of the instance.
 
 use crate::clock::Clock;
+use crate::memory::Budget;
 use crate::replica::{self, Handle, MessageSender};
 use crate::storage::{Folder, Group, Identity};
 use coordination::consensus::{self, Members, initial_id};
@@ -97,6 +98,7 @@
         settings: &Settings,
         clock: Clock,
         message_sender: Arc<dyn MessageSender>,
+        budget: &Arc<Budget>,
     ) -> std::io::Result<Handle> {
         let membership =
             membership::Settings { target: settings.replicas(), ..membership::Settings::default() };
@@ -114,6 +116,7 @@
             opened: self.opened,
             message_sender,
             planner: Some(Planner::new(membership)),
+            budget: Some(budget.clone()),
         })
     }
 }
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -15,6 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Time for an upload that gives way to return its memory: some turns of the process's tasks.
 const RETURN_TIMEOUT: Duration = Duration::from_millis(250);
@@ -246,6 +247,32 @@
     }
 }
 
+impl Grant {
+    /// As [`Grant::resize`], but waits until `deadline` for what others return.
+    pub(crate) async fn resize_until(
+        &mut self,
+        bytes: usize,
+        deadline: Instant,
+    ) -> Result<(), Full> {
+        let budget = self.budget.clone();
+        let resize = async {
+            loop {
+                let returned = budget.returned.notified();
+                let mut returned = std::pin::pin!(returned);
+                returned.as_mut().enable();
+                if self.resize(bytes).await.is_ok() {
+                    return Ok(());
+                }
+                if bytes > budget.limit {
+                    return Err(Full);
+                }
+                returned.await;
+            }
+        };
+        tokio::time::timeout_at(deadline, resize).await.unwrap_or(Err(Full))
+    }
+}
+
 impl Drop for Grant {
     fn drop(&mut self) {
         self.budget.give_back(self.kind, self.bytes);
--- a/crates/transport/src/replica/handle.rs
+++ b/crates/transport/src/replica/handle.rs
@@ -120,7 +120,8 @@
         response.await.unwrap_or(Outcome::Unknown)
     }
 
-    /// Submits a command, then queries the state that includes its effect.
+    /// Submits a command, then queries the state that includes its effect. The view is empty if there is
+    /// no memory for it.
     pub(crate) async fn submit_then_query(
         &self,
         command: Bytes,
@@ -133,7 +134,8 @@
         // The command has been applied to the local state machine, so its state includes it.
         match self.query_applied(query).await {
             Outcome::Data(view) => Ok((reply, view)),
-            other => Err(other),
+            Outcome::NotLeader(_) => Ok((reply, Bytes::new())),
+            Outcome::Unknown => Err(Outcome::Unknown),
         }
     }
 
--- a/crates/transport/src/replica/worker.rs
+++ b/crates/transport/src/replica/worker.rs
@@ -7,9 +7,12 @@
 mod persistence;
 
 use self::persistence::records;
+use crate::body::Held;
 use crate::clock::{Clock, millis};
+use crate::memory::{self, Budget};
 use crate::replica::{Handle, Job, MessageSender, Outcome, Status};
 use crate::storage::{Group, Identity};
+use bytes::Bytes;
 use coordination::Millis;
 use coordination::backlog::{self, Tolerance};
 use coordination::consensus::{
@@ -40,6 +43,9 @@
 /// Maximum number of queued jobs handled before one sync.
 const MAX_BATCH: usize = 512;
 
+/// Size up to which an answer to a query takes no memory from the budget, in bytes.
+const MIN_GRANTED_BYTES: usize = 16 * 1024;
+
 /// Time to the result of a command above which the log says so.
 const USUAL_TIME: Duration = Duration::from_millis(200);
 
@@ -66,6 +72,8 @@
     pub(crate) message_sender: Arc<dyn MessageSender>,
     /// Decides the members of the group; `None` if the settings name them.
     pub(crate) planner: Option<Planner>,
+    /// Memory for long answers to queries; `None` if they are not limited.
+    pub(crate) budget: Option<Arc<Budget>>,
 }
 
 /// Starts the thread of a replica.
@@ -95,6 +103,7 @@
     log: Box<dyn Log>,
     message_sender: Arc<dyn MessageSender>,
     planner: Option<Planner>,
+    budget: Option<Arc<Budget>>,
     candidates: Vec<Candidate>,
     last_planned: Millis,
     /// Snapshots being sent, by receiving replica.
@@ -145,6 +154,7 @@
             log: Box::new(config.opened.log),
             message_sender: config.message_sender,
             planner: config.planner,
+            budget: config.budget,
             candidates: Vec::new(),
             last_planned: 0,
             exports: Map::default(),
@@ -226,8 +236,7 @@
                 }
             }
             Job::QueryApplied { query, reply } => {
-                let view = self.state_machine.query(&query);
-                drop(reply.send(view.map_or(Outcome::Unknown, |view| Outcome::Data(view.into()))));
+                drop(reply.send(self.view(&query).unwrap_or(Outcome::Unknown)));
             }
             Job::Join { instance, id } => {
                 let replacement = Replacement::new(&instance, id);
@@ -239,6 +248,21 @@
         }
     }
 
+    /// Answers a query from the applied state. A long answer takes its memory from the budget until it is
+    /// sent; without memory the query is refused as if the leader were behind.
+    fn view(&self, query: &[u8]) -> Result<Outcome, Storage> {
+        let Some(budget) = &self.budget else {
+            return Ok(Outcome::Data(self.state_machine.query(query)?.into()));
+        };
+        let mut grant = budget.grant(memory::Kind::Response);
+        let bytes = self.state_machine.answer_bytes(query);
+        if bytes > MIN_GRANTED_BYTES && grant.grow_response(bytes).is_err() {
+            return Ok(Outcome::NotLeader(self.leader_instance()));
+        }
+        let view = self.state_machine.query(query)?;
+        Ok(Outcome::Data(Bytes::from_owner(Held::new(view, grant))))
+    }
+
     /// Refuses a command that the state has no room for.
     fn refuse_for_room(&mut self, command: &[u8], reply: oneshot::Sender<Outcome>) {
         match self.state_machine.refusal(command) {
@@ -503,8 +527,8 @@
         self.waiting_reads = waiting;
         for (token, _) in ready {
             if let Some(query) = self.queries.remove(&token) {
-                let view = self.state_machine.query(&query)?;
-                self.reply(token, Outcome::Data(view.into()));
+                let view = self.view(&query)?;
+                self.reply(token, view);
             }
         }
         Ok(())
