fix(gateway): a refused connection is no end of what a server has

Cause: callers on a server that paused and then refused new connections got 502 "the backend server ended in silence" while the server went on with their requests; streams would break off. A server with too many connections, or one about to stop, refuses, too. Ruled out: a refusal at the first probe (a sign of life, nothing is ended), the list, other fates (they close nothing). Change: a refusal tells an end only if the server has also closed what it had; and whatever the fate, a request ends with its own connection, never by this entry. Connections to servers have TCP keepalive, so that a machine which has started again resets those that it doesn't know. What a silence closed (Peer::ended, Abort::Silence) is gone. The witnesses are asked only when the end would be concluded, and a server that went on meanwhile isn't taken for ended. Conclusion: no decision of an entry on a silent server ends a request any more; a process that ends closes its connections, which each request sees by itself.

--- a/crates/coordination/src/silence.rs
+++ b/crates/coordination/src/silence.rs
@@ -10,7 +10,8 @@
 //! A silent server may go on with everything that it had, or may have ended. Silence alone can't tell
 //! the two apart, so nothing that the server has accepted is given up for it; it only gets nothing
 //! new. What follows is a [`Fate`], which the server itself shows: it goes on if it sends anything on
-//! a connection from before, and has ended if it refuses connections or has closed all of those. If it
+//! a connection from before, and has ended if it has closed all of those. One that refuses new
+//! connections may have too many of them, or be about to stop, and still answer what it has. If it
 //! answers new ones but not what it owed, that counts as an end, and its requests still wait.
 //!
 //! Load pattern: one request that takes down each server that executes it, without a connection being
@@ -100,7 +101,7 @@
 pub struct Trace {
     /// Whether it sent anything on a connection from before.
     pub has_gone_on: bool,
-    /// Whether it refuses connections.
+    /// Whether it refused the last connection.
     pub is_refusing: bool,
     /// Whether its id and address are listed.
     pub is_listed: bool,
@@ -148,7 +149,8 @@
         if self.has_gone_on {
             return Fate::GoesOn;
         }
-        if self.is_refusing {
+        let has_closed_all = self.open_requests == 0 && self.probe != Owed::Open;
+        if self.is_refusing && has_closed_all {
             return Fate::Ended;
         }
         let settling = self.silent_checks.max(MIN_SETTLING_CHECKS);
--- a/crates/transport/src/gateway/attempt.rs
+++ b/crates/transport/src/gateway/attempt.rs
@@ -85,23 +85,17 @@
         }
     }
 
-    /// Whether its connection was closed because the server has ended in silence.
-    pub(super) fn has_ended_silently(&self) -> bool {
-        self.connection.as_ref().is_some_and(Connection::is_closed_silently)
-    }
-
     /// Ends the attempt with an outcome.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
 
     /// Ends the attempt of `request` after the server closed the connection before its response was
-    /// complete; `None` for a request that was forwarded, or is known to be lost already.
+    /// complete; `None` for a request that was forwarded.
     pub(super) fn lose(mut self, request: &str, is_before_first_event: bool) -> Option<Loss> {
         self.outcome = Outcome::Failed;
         let request = request.to_owned();
-        let loss = Loss { request, is_before_first_event, ..self.loss()? };
-        (!self.has_ended_silently()).then_some(loss)
+        Some(Loss { request, is_before_first_event, ..self.loss()? })
     }
 
     /// The attempt as one that is lost now; `None` for a request that was forwarded, or not sent.
--- a/crates/transport/src/gateway/peer.rs
+++ b/crates/transport/src/gateway/peer.rs
@@ -54,7 +54,6 @@
     requests: Mutex<Map<u64, Arc<Pending>>>,
     registered: AtomicU64,
     fallen_silent: Notify,
-    ended: Notify,
 }
 
 impl Peer {
@@ -68,7 +67,6 @@
             requests: Mutex::default(),
             registered: AtomicU64::new(0),
             fallen_silent: Notify::new(),
-            ended: Notify::new(),
         }
     }
 
@@ -140,14 +138,4 @@
     pub(super) fn silence(&self) -> Notified<'_> {
         self.fallen_silent.notified()
     }
-
-    /// Ends all waits for [`Peer::ended`].
-    pub(super) fn end(&self) {
-        self.ended.notify_waiters();
-    }
-
-    /// Waits until the server has ended in silence.
-    pub(super) async fn ended(&self) {
-        self.ended.notified().await;
-    }
 }
--- a/crates/transport/src/gateway/pool.rs
+++ b/crates/transport/src/gateway/pool.rs
@@ -15,12 +15,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use state::collections::Map;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -49,6 +49,11 @@
 /// also counts the time in which a server that pauses has no room for the rest of a body.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Idle time before the kernel probes a connection, and the interval of its probes. A machine that has
+/// started again resets the connections that it doesn't know; one whose server pauses answers for it,
+/// and without an answer [`TCP_USER_TIMEOUT`] applies.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum read buffer of a connection, in bytes: several events, or a short response.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -63,8 +68,6 @@
     allowance: Arc<Allowance>,
     pub(super) peer: Arc<Peer>,
     pub(super) opened_at: Millis,
-    /// Whether it was closed because the server has ended in silence.
-    is_closed_silently: Arc<AtomicBool>,
 }
 
 /// Number of bytes that a connection may still receive.
@@ -186,9 +189,12 @@
         let is_refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
         peer.observe_opening(stream.as_ref().is_err_and(is_refused));
         let stream = stream?;
+        let keepalive =
+            TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
         let configured = stream
             .set_nodelay(true)
-            .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+            .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
+            .and_then(|()| SockRef::from(&stream).set_tcp_keepalive(&keepalive));
         if let Err(error) = configured {
             tracing::warn!(%error, "cannot set socket options of a connection to a backend server");
         }
@@ -205,23 +211,13 @@
         };
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
-        let is_closed_silently = Arc::new(AtomicBool::new(false));
-        let (is_closed, ending_peer) = (is_closed_silently.clone(), peer.clone());
         let task = tokio::spawn(async move {
-            tokio::select! {
-                ended = connection => if let Err(error) = ended {
-                    tracing::debug!(%error, "connection to a backend server ended");
-                },
-                () = ending_peer.ended() => is_closed.store(true, Ordering::Relaxed),
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection to a backend server ended");
             }
         });
         let task = task.abort_handle();
-        Ok(Self { sender, task, allowance, peer, opened_at, is_closed_silently })
-    }
-
-    /// Whether it was closed because the server has ended in silence.
-    pub(super) fn is_closed_silently(&self) -> bool {
-        self.is_closed_silently.load(Ordering::Relaxed)
+        Ok(Self { sender, task, allowance, peer, opened_at })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -292,12 +288,11 @@
         peer
     }
 
-    /// Closes all connections to a server that has ended in silence.
-    pub(super) fn close_ended(&self, address: &str) {
+    /// Closes the idle connections to a server that has ended.
+    pub(super) fn close_idle(&self, address: &str) {
         if let Ok(mut idle) = self.idle.lock() {
             idle.remove(address);
         }
-        self.peer(address).end();
     }
 
     /// Returns an idle connection to `address` or opens one; the flag is `true` for a new
--- a/crates/transport/src/gateway/prober.rs
+++ b/crates/transport/src/gateway/prober.rs
@@ -81,6 +81,7 @@
                         self.later = Some(begin_probe());
                     }
                     Reaction::Answered | Reaction::Closed => {
+                        trace.is_refusing = false;
                         trace.is_crowded |= reaction == Reaction::Closed;
                         trace.checks_since_answer.get_or_insert(0);
                     }
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -44,9 +44,6 @@
     /// The backend server closed the connection before the response body was complete.
     #[error("the backend server closed the connection")]
     Server,
-    /// This instance closed the connection to the backend server, because that ended in silence.
-    #[error("the backend server ended in silence")]
-    Silence,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     DeadlineExceeded,
@@ -262,10 +259,7 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 self.error = Some(error::chain(&error));
-                let attempt = self.attempt.as_ref();
-                let is_silent = attempt.is_some_and(Attempt::has_ended_silently);
-                let abort = if is_silent { Abort::Silence } else { Abort::Server };
-                self.abort_after_flush(abort, context)
+                self.abort_after_flush(Abort::Server, context)
             }
             Poll::Ready(None) => self.complete(context),
         }
@@ -380,7 +374,7 @@
     fn abort(&mut self, abort: Abort) -> Abort {
         if let Some(attempt) = self.attempt.take() {
             match abort {
-                Abort::Server | Abort::Silence => {
+                Abort::Server => {
                     let is_before_first_event = self.events.as_ref().is_some_and(|e| e.count == 0);
                     if let Some(loss) = attempt.lose(&self.progress.id, is_before_first_event) {
                         self.progress.entry.report_loss(loss);
@@ -396,7 +390,6 @@
         self.record_end(match abort {
             Abort::Caller => "caller left",
             Abort::Server => "server broke off",
-            Abort::Silence => "server ended silently",
             Abort::DeadlineExceeded => "time is over",
             Abort::Excess => "server sent too much",
             Abort::NotRecorded => "not recorded",
--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -451,10 +451,6 @@
                     return AttemptResult::Unavailable;
                 }
                 Ok(Err(SendError::NoResponse(detail))) => {
-                    let detail = match attempt.has_ended_silently() {
-                        true => "the backend server ended in silence".to_owned(),
-                        false => detail,
-                    };
                     let loss = attempt.lose(&outbound.metadata.id, outbound.route.is_stream);
                     if let Some(loss) = loss {
                         self.examine(outbound, loss).await;
--- a/crates/transport/src/gateway/silence.rs
+++ b/crates/transport/src/gateway/silence.rs
@@ -2,9 +2,9 @@
 //!
 //! The task feeds [`Silence`](coordination::silence::Silence) with what the connections show, and
 //! connects to the servers that it names. A server that has fallen silent gets nothing new. What it
-//! has accepted stays with it, and its content is under suspicion, until a [`Fate`] is known: its
-//! requests go the way of those whose server closed them only if it has ended. Requests that were
-//! given up before are remembered until then as [`Doubt`]s.
+//! has accepted stays with it until it answers or closes the connection, whatever the [`Fate`]: that
+//! tells whether its end counts against the content, which is under suspicion meanwhile. Requests that
+//! were given up before are remembered until then as [`Doubt`]s.
 
 use crate::clock::millis;
 use crate::gateway::dialect::{Dispatch, Identity};
@@ -195,7 +195,7 @@
             self.pool.peer(address).heard_at.store(self.now() + 1, Ordering::Relaxed);
         }
         if fate == Fate::Ended {
-            self.pool.close_ended(address);
+            self.pool.close_idle(address);
         }
     }
 
@@ -256,14 +256,15 @@
             let trace = &mut prober.trace;
             trace.has_gone_on |= !peer.is_silent();
             trace.open_requests = peer.requests_since(silent_at).len();
-            if trace.is_refusing && !self.reaches_others(address).await {
-                trace.is_refusing = false;
-            }
             if let Ok(fleet) = self.fleet.lock() {
                 let server = fleet.get(id).filter(|server| server.listed.address == address);
                 trace.is_listed = server.is_some();
                 trace.is_leaving |= server.is_some_and(Server::is_leaving);
             }
+            if trace.fate() == Fate::Ended && trace.is_refusing {
+                trace.is_refusing = self.reaches_others(address).await;
+                trace.has_gone_on |= !peer.is_silent();
+            }
             let fate = trace.fate();
             if fate != Fate::Silent {
                 return (fate, *trace);
