fix(gateway): a refusal that needs no body reaches the caller that sends it

Cause: a request that is refused by its head (a route that a change removed, a key, a full entry, a stop) was answered at once, and the connection closed with the body unread, so that the network reset it while the caller was sending: the rest couldn't be sent, and a caller that then gives up sees neither an answer nor a refusal. Only refusals from reading the body itself were followed by a drain. Ruled out: answers of servers (read whole), heads over the limit (no request was read). Change: the rest of the body is dropped before the refusal, up to 128 KiB and 50 ms, and the connection is kept; if more is to come the refusal closes the connection, and what is still sent is dropped for a second, as after other refusals. A caller that expects an interim response is refused before it sends. "request refused" says whether the body is unread. Conclusion: no bytes of a request that was refused are left unread when its connection is closed, up to the limits above.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -20,6 +21,12 @@
 /// the bytes that it takes are unused.
 const GROWTH_DIVISOR: usize = 4;
 
+/// Number of bytes of a body that are dropped before the request is refused: several ordinary ones.
+const DROPPED_BYTES: usize = 128 * 1024;
+
+/// Time for that. A body of ordinary size is on its way with its head.
+const DROP_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Reason why a body was not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -117,6 +124,25 @@
     result
 }
 
+/// Reads and drops a body of a request that is refused without it, so that the connection can be kept;
+/// `false` if it has not ended after [`DROPPED_BYTES`] or [`DROP_TIMEOUT`].
+pub(crate) async fn drop_rest(mut body: Incoming) -> bool {
+    let rest = async {
+        let mut dropped = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return false;
+            };
+            dropped += frame.data_ref().map_or(0, Bytes::len);
+            if dropped > DROPPED_BYTES {
+                return false;
+            }
+        }
+        true
+    };
+    tokio::time::timeout(DROP_TIMEOUT, rest).await.unwrap_or(false)
+}
+
 /// A body that is being read.
 struct Reading {
     upload: Upload,
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -97,6 +97,8 @@
     let started = Instant::now();
     let (head, body) = request.into_parts();
     let metadata = entry.adapter.metadata(&head);
+    // A caller that waits for an interim response is refused before it sends the body.
+    let awaits_continue = head.headers.contains_key(header::EXPECT);
     let id = metadata.as_ref().map(|metadata| metadata.id.clone()).unwrap_or_default();
     let mut handler = Handler {
         progress: Progress {
@@ -118,10 +120,11 @@
         checks_keys: false,
         key: None,
         connection,
+        body: Some(body),
         busy: None,
     };
     let outcome = match metadata {
-        Ok(metadata) => handler.handle_until_stopped(&metadata, head, body).await,
+        Ok(metadata) => handler.handle_until_stopped(&metadata, head).await,
         Err(refusal) => Err(Error::Refused(refusal)),
     };
     match outcome {
@@ -129,7 +132,13 @@
         Err(Error::Refused(refusal)) => {
             let id = Some(handler.progress.id.as_str()).filter(|id| !id.is_empty());
             let mut response = entry.adapter.refusal_response(id, &refusal);
-            if handler.connection.has_unread_body() {
+            if let Some(body) = handler.body.take()
+                && (awaits_continue || !body::drop_rest(body).await)
+            {
+                handler.connection.leave_body();
+            }
+            let is_body_unread = handler.connection.has_unread_body();
+            if is_body_unread {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -140,6 +149,7 @@
                 kind,
                 detail = refusal.detail,
                 retry_ms = refusal.retry_after.map(millis),
+                is_body_unread,
                 "request refused"
             );
             handler.progress.record_end(&kind, response.status().as_u16(), None);
@@ -173,6 +183,8 @@
     pub(super) key: Option<KeyDigest>,
     /// Connection of the caller.
     connection: Arc<Connection>,
+    /// Body of the request until it is read.
+    body: Option<Incoming>,
     /// Marks the connection as one that is needed, from the end of the request body on.
     busy: Option<Busy>,
 }
@@ -240,14 +252,13 @@
         &mut self,
         metadata: &Metadata,
         head: request::Parts,
-        body: Incoming,
     ) -> Result<Answered, Error> {
         let mut phase = self.entry.stop.subscribe();
         if *phase.borrow() >= Phase::Closed {
             return Err(Refusal::new(Kind::Stopping, "this instance is stopping").into());
         }
         let handled = tokio::select! {
-            handled = self.handle(metadata, head, body) => Some(handled),
+            handled = self.handle(metadata, head) => Some(handled),
             () = wait_for_phase(&mut phase, Phase::Ended) => None,
         };
         handled.unwrap_or_else(|| {
@@ -264,7 +275,6 @@
         &mut self,
         metadata: &Metadata,
         head: request::Parts,
-        body: Incoming,
     ) -> Result<Answered, Error> {
         let remaining = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let Some(table) = self.entry.await_start(&metadata.id, remaining).await else {
@@ -287,7 +297,7 @@
         }
         let copies = usize::from(route.retains_turns);
         let limit = table.limits().body_bytes;
-        let (body, record) = self.read_body(body, limit, copies, deadline).await?;
+        let (body, record) = self.read_body(limit, copies, deadline).await?;
         if self.should_forward()
             && let Some(answered) = self.forward(metadata, &route, &head, &body, deadline).await?
         {
@@ -360,12 +370,14 @@
     /// others from then on.
     async fn read_body(
         &mut self,
-        body: Incoming,
         limit: usize,
         copies: usize,
         deadline: Instant,
     ) -> Result<(Bytes, Grant), Error> {
         let budget = &self.entry.member.budget;
+        let Some(body) = self.body.take() else {
+            return Ok((Bytes::new(), budget.grant(Purpose::Record)));
+        };
         let error = match body::read_for_copies(budget, body, limit, copies, deadline).await {
             Ok(body) => {
                 self.busy = Some(self.connection.busy());
