fix(gateway): a turn has the memory for its events before it is sent

Cause: turns that had run were broken off while uploads held the memory of an entry (LOST): events beyond 16 KiB take memory as they arrive, and an event for which there was none ended the turn, with a server's work done. Change: a turn that is retained takes 32 KiB for its events together with its body, and is refused as not executed if it can't have them; events beyond that take memory as before. A response that ends for lack of memory has an outcome of its own, "no memory". What reads and sends the content of a turn is a file of its own. Conclusion: ordinary turns (to 22 KB of events) depend on nobody once they are sent.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -89,21 +89,38 @@
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, Error> {
-    let (body, _) = read_for_copies(budget, body, limit, 0, deadline).await?;
+    let (body, _) = read_with(budget, body, limit, Extra::default(), deadline).await?;
     Ok(body)
 }
 
-/// As [`read`], but also takes the memory for `copies` of the body, so that whoever has read one can
-/// make them.
-pub(crate) async fn read_for_copies(
+/// Memory that is taken together with a body, so that who has read it can go on.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Extra {
+    /// Number of copies of the body.
+    pub(crate) copies: usize,
+    /// Number of other bytes.
+    pub(crate) bytes: usize,
+}
+
+impl Extra {
+    /// Size with a body of `length` bytes.
+    fn beside(self, length: usize) -> usize {
+        length.saturating_mul(self.copies).saturating_add(self.bytes)
+    }
+}
+
+/// As [`read`], but also takes the `extra` memory, which it returns.
+pub(crate) async fn read_with(
     budget: &Arc<Budget>,
     body: Incoming,
     limit: usize,
-    copies: usize,
+    extra: Extra,
     deadline: Instant,
 ) -> Result<(Bytes, Grant), Error> {
     if body.is_end_stream() {
-        return Ok((Bytes::new(), budget.grant(Kind::Record)));
+        let mut grant = budget.grant(Kind::Record);
+        grant.resize(extra.bytes).await.map_err(|Full| Error::Full)?;
+        return Ok((Bytes::new(), grant));
     }
     let announced = body.size_hint().exact();
     let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -112,7 +129,7 @@
         _ => {
             let leave = Arc::new(Notify::new());
             let upload = budget.upload(Kind::Body, leave.clone());
-            let reading = Reading { upload, leave, content: Vec::new(), limit, copies };
+            let reading = Reading { upload, leave, content: Vec::new(), limit, extra };
             tokio::time::timeout_at(deadline, reading.run(body, announced))
                 .await
                 .unwrap_or(Err(Error::Late))
@@ -150,8 +167,7 @@
     leave: Arc<Notify>,
     content: Vec<u8>,
     limit: usize,
-    /// Number of copies whose memory is taken, too.
-    copies: usize,
+    extra: Extra,
 }
 
 impl Reading {
@@ -177,20 +193,20 @@
                 self.push(data).await?;
             }
         }
-        let Self { upload, content, copies, .. } = self;
+        let Self { upload, content, extra, .. } = self;
         let mut grant = upload.complete();
-        let copied = content.len() * copies;
+        let extra = extra.beside(content.len());
         // A buffer never shrinks here, so that this returns what was taken for its growth only.
-        if grant.try_resize(content.capacity() + copied).is_err() {
+        if grant.try_resize(content.capacity() + extra).is_err() {
             return Err(Error::Full);
         }
-        let copied = grant.split(copied, Kind::Record);
-        Ok((Bytes::from_owner(Held::new(content, grant)), copied))
+        let extra = grant.split(extra, Kind::Record);
+        Ok((Bytes::from_owner(Held::new(content, grant)), extra))
     }
 
-    /// Takes memory for buffers of `buffered` bytes, and for the copies of a body of `length` bytes.
+    /// Takes memory for buffers of `buffered` bytes, and what is extra with a body of `length` bytes.
     async fn take(&mut self, buffered: usize, length: usize) -> Result<(), Error> {
-        let bytes = buffered.saturating_add(length.saturating_mul(self.copies));
+        let bytes = buffered.saturating_add(self.extra.beside(length));
         self.upload.grant.resize(bytes).await.map_err(|Full| Error::Full)
     }
 
--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -4,7 +4,7 @@
 //! server and hands the response to a [`Relay`]. A request that cannot be forwarded is answered
 //! with a [`Refusal`].
 
-use crate::body;
+use crate::body::{self, Extra};
 use crate::clock::millis;
 use crate::connections::{Busy, Connection};
 use crate::gateway::attempt::Attempt;
@@ -17,9 +17,9 @@
 use crate::gateway::loss::Subject;
 use crate::gateway::origin::Versions;
 use crate::gateway::relay::{Abort, Body, Draft, Params, Progress, Relay};
-use crate::gateway::sending::{Outbound, PLACEMENT_SHARE};
+use crate::gateway::sending::Outbound;
 use crate::gateway::server::{Phase, wait_for_phase};
-use crate::gateway::turns::{Admission, Prior, Turn, read_content};
+use crate::gateway::turns::{Admission, Turn};
 use crate::gateway::usage::Permit;
 use crate::memory::{Grant, Kind as Purpose};
 use bytes::Bytes;
@@ -41,7 +41,7 @@
 
 /// Retry time in refusals because the program journal did not respond: roughly the duration
 /// of one leader election.
-const JOURNAL_RETRY_AFTER: Duration = Duration::from_millis(600);
+pub(super) const JOURNAL_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// Timeout for the program journal, and retry time in refusals, while this instance is
 /// isolated from both the journal and the control instances. Both are short so that the
@@ -49,11 +49,15 @@
 const ISOLATED_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Timeout for the program journal, as a fraction of the time remaining until the deadline.
-const JOURNAL_SHARE: f64 = 0.5;
+pub(super) const JOURNAL_SHARE: f64 = 0.5;
 
 /// Assumed timeout of a request that names none, before its route is known.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Memory for the events of a turn that is retained, which is set aside before the turn is sent: more
+/// than those of the longest ordinary turns, in all their copies.
+const RETAINED_EVENTS_BYTES: usize = 32 * 1024;
+
 /// Guard that counts a request as in flight until it is dropped.
 struct InFlight(Arc<Entry>);
 
@@ -295,9 +299,12 @@
         if !self.should_forward() {
             self.admit(metadata, &route)?;
         }
-        let copies = usize::from(route.retains_turns);
+        let extra = match route.retains_turns {
+            true => Extra { copies: 1, bytes: RETAINED_EVENTS_BYTES },
+            false => Extra::default(),
+        };
         let limit = table.limits().body_bytes;
-        let (body, record) = self.read_body(limit, copies, deadline).await?;
+        let (body, record) = self.read_body(limit, extra, deadline).await?;
         if self.should_forward()
             && let Some(answered) = self.forward(metadata, &route, &head, &body, deadline).await?
         {
@@ -366,19 +373,19 @@
         })
     }
 
-    /// Reads the body, and takes the memory for `copies` of it. The connection does not make room for
+    /// Reads the body, and takes the `extra` memory. The connection does not make room for
     /// others from then on.
     async fn read_body(
         &mut self,
         limit: usize,
-        copies: usize,
+        extra: Extra,
         deadline: Instant,
     ) -> Result<(Bytes, Grant), Error> {
         let budget = &self.entry.member.budget;
         let Some(body) = self.body.take() else {
             return Ok((Bytes::new(), budget.grant(Purpose::Record)));
         };
-        let error = match body::read_for_copies(budget, body, limit, copies, deadline).await {
+        let error = match body::read_with(budget, body, limit, extra, deadline).await {
             Ok(body) => {
                 self.busy = Some(self.connection.busy());
                 return Ok(body);
@@ -490,61 +497,6 @@
         }
     }
 
-    /// Takes memory for the content of a turn, for which the request waits as long as for a server.
-    async fn reserve(&self, bytes: usize, deadline: Instant) -> Result<Grant, Error> {
-        let budget = &self.entry.member.budget;
-        let mut grant = budget.grant(Purpose::Body);
-        let now = Instant::now();
-        let until = now + deadline.saturating_duration_since(now).mul_f64(PLACEMENT_SHARE);
-        if grant.resize_until(bytes, until).await.is_err() {
-            budget.metrics.give_up("turn without memory");
-            let detail = "there is no memory for the content of the turn";
-            return Err(Refusal::retryable(Kind::Overloaded, RETRY_AFTER, detail).into());
-        }
-        Ok(grant)
-    }
-
-    /// Returns the content of the turns up to `previous`, followed by the body. It is held once, in memory
-    /// that is taken before it is read.
-    async fn content(
-        &self,
-        previous: &str,
-        prior: Prior,
-        body: &Bytes,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, Error> {
-        let member = &self.entry.member;
-        let read = async |offset: u64| {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            let part = read_content(member, previous, offset, remaining.mul_f64(JOURNAL_SHARE));
-            part.await.map_err(|error| {
-                Refusal::retryable(Kind::Unavailable, JOURNAL_RETRY_AFTER, error.to_string())
-            })
-        };
-        let first = match prior {
-            Prior::Nothing => return Ok(None),
-            Prior::First(part) => part,
-            Prior::Later => read(0).await?,
-        };
-        let total = usize::try_from(first.total).unwrap_or(usize::MAX);
-        let bytes = total.saturating_add(body.len());
-        let grant = self.reserve(bytes, deadline).await?;
-        let mut content = Vec::with_capacity(bytes);
-        content.extend_from_slice(&first.content);
-        drop(first);
-        while content.len() < total {
-            let part = read(content.len() as u64).await?;
-            if part.content.is_empty() || part.content.len() > total - content.len() {
-                let detail = "the content of the turns before changed while it was read";
-                let pause = JOURNAL_RETRY_AFTER;
-                return Err(Refusal::retryable(Kind::Unavailable, pause, detail).into());
-            }
-            content.extend_from_slice(&part.content);
-        }
-        content.extend_from_slice(body);
-        Ok(Some(Bytes::from_owner(body::Held::new(content, grant))))
-    }
-
     /// Builds the response to the caller, whose body is relayed as it arrives.
     fn relay(self, answered: Answered, in_flight: InFlight) -> Response<Body> {
         let Answered { response, attempt, turn, draft, is_stream, .. } = answered;
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod awaited;
 mod connector;
+mod content;
 mod dialect;
 mod entry;
 mod error;
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -50,6 +50,9 @@
     /// The backend server sent more than a response may have.
     #[error("the backend server sent more than a response may have")]
     Excess,
+    /// There is no memory for the events of the turn.
+    #[error("there is no memory for the events of the turn")]
+    NoMemory,
     /// The turn could not be recorded in the program journal.
     #[error("the turn could not be recorded")]
     NotRecorded,
@@ -100,7 +103,7 @@
     pub(crate) previous: Option<String>,
     pub(crate) input: Bytes,
     pub(crate) retention: Duration,
-    /// Memory for the copy of the input in the command that records it.
+    /// Memory for the copy of the input in the command that records it, and for events.
     pub(crate) grant: Grant,
 }
 
@@ -186,7 +189,14 @@
 impl Relay {
     pub(crate) fn new(params: Params) -> Self {
         let server = params.attempt.server.id.clone();
-        let grant = params.progress.entry.member.budget.grant(Kind::Response);
+        let mut draft = params.draft;
+        let grant = match &mut draft {
+            Some(draft) => {
+                let for_events = draft.grant.bytes().saturating_sub(draft.input.len());
+                draft.grant.split(for_events, Kind::Response)
+            }
+            None => params.progress.entry.member.budget.grant(Kind::Response),
+        };
         Self {
             grant,
             progress: params.progress,
@@ -200,7 +210,7 @@
             events: params.events,
             tokens_per_event: params.tokens_per_event,
             turn: params.turn,
-            draft: params.draft,
+            draft,
             deadline: params.deadline,
             timer: Box::pin(tokio::time::sleep_until(params.deadline)),
             events_between: None,
@@ -240,7 +250,7 @@
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref()
-                    && let Err(detail) = self.inspect(data)
+                    && let Err((abort, detail)) = self.inspect(data)
                 {
                     tracing::warn!(
                         request = self.progress.id,
@@ -248,7 +258,7 @@
                         detail,
                         "response body given up"
                     );
-                    return Poll::Ready(Some(Err(self.abort(Abort::Excess))));
+                    return Poll::Ready(Some(Err(self.abort(abort))));
                 }
                 if self.is_length_relayed && self.body.is_end_stream() {
                     // The server does not poll again after the last byte of a body whose
@@ -269,18 +279,20 @@
     ///
     /// # Errors
     ///
-    /// Returns the limit that the body exceeds.
-    fn inspect(&mut self, data: &[u8]) -> Result<(), String> {
+    /// Returns the limit that the body exceeds, and how the response ends.
+    fn inspect(&mut self, data: &[u8]) -> Result<(), (Abort, String)> {
         self.received += data.len();
         if self.received > RESPONSE_BYTES {
-            return Err(format!("the body has more than {RESPONSE_BYTES} bytes"));
+            let detail = format!("the body has more than {RESPONSE_BYTES} bytes");
+            return Err((Abort::Excess, detail));
         }
         if let Some(events) = &mut self.events {
             let count_before = events.count;
-            events.feed(data).map_err(|excess| excess.to_string())?;
+            events.feed(data).map_err(|excess| (Abort::Excess, excess.to_string()))?;
             let copies = if self.draft.is_some() { RECORD_COPIES } else { 1 };
             let counted = memory::counted(events.held_bytes(), copies);
-            self.grant.grow_response(counted).map_err(|full| full.to_string())?;
+            let grown = self.grant.grow_response(counted);
+            grown.map_err(|full| (Abort::NoMemory, full.to_string()))?;
             if events.count > count_before {
                 if count_before == 0
                     && let Some(attempt) = &self.attempt
@@ -380,7 +392,7 @@
                         self.progress.entry.report_loss(loss);
                     }
                 }
-                Abort::Excess => attempt.end(Outcome::Failed),
+                Abort::Excess | Abort::NoMemory => attempt.end(Outcome::Failed),
                 Abort::Caller | Abort::DeadlineExceeded | Abort::NotRecorded => {
                     attempt.end(Outcome::Cancelled);
                 }
@@ -392,6 +404,7 @@
             Abort::Server => "server broke off",
             Abort::DeadlineExceeded => "time is over",
             Abort::Excess => "server sent too much",
+            Abort::NoMemory => "no memory",
             Abort::NotRecorded => "not recorded",
         });
         abort
