fix(gateway): a turn without room needs no end

Change: the router tells whether a request was sent before without a response; only then may the begin have been carried out, and is the turn ended.

--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -470,7 +470,7 @@
                 };
                 Ok(Begun { turn: Some(turn), content, holder, stream })
             }
-            Ok(Admission::NoRoom { retry_after }) => {
+            Ok(Admission::NoRoom { retry_after, .. }) => {
                 let detail = "the journal has no room to retain the turn";
                 Err(Refusal::retryable(Kind::Unavailable, retry_after, detail).into())
             }
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -54,6 +54,8 @@
     NoRoom {
         /// Time after which it is expected to have room.
         retry_after: Duration,
+        /// Whether an earlier copy of the begin may have been carried out.
+        may_have_begun: bool,
     },
     /// The program's remaining budget is smaller than the turn's limit.
     Exhausted {
@@ -106,7 +108,11 @@
             Err(_) => Err(Unreachable),
         };
         // A turn that has certainly not begun needs no end.
-        turn.is_open &= !matches!(admission, Ok(Admission::Refused));
+        let has_not_begun = matches!(
+            admission,
+            Ok(Admission::Refused | Admission::NoRoom { may_have_begun: false, .. })
+        );
+        turn.is_open &= !has_not_begun;
         (turn, admission)
     }
 
@@ -240,7 +246,9 @@
         Some(turn) => Request::SubmitThenQuery { group, command, query: encode_query(turn, 0)? },
         None => Request::Submit { group, command },
     };
-    let (reply, view) = match member.leaders.route(group, &request, timeout).await? {
+    let routed = member.leaders.route_once(group, &request, timeout).await?;
+    let may_have_begun = routed.is_repeated;
+    let (reply, view) = match routed.response {
         Response::Data(reply) => (reply, None),
         Response::SubmitThenQuery(reply, view) => (reply, Some(view)),
         Response::NotLeader(_) => return Ok(Admission::Refused),
@@ -259,7 +267,8 @@
             Ok(Admission::Open { prior, holder: server, stream })
         }
         Reply::NoRoom { retry_ms } => {
-            Ok(Admission::NoRoom { retry_after: Duration::from_millis(retry_ms) })
+            let retry_after = Duration::from_millis(retry_ms);
+            Ok(Admission::NoRoom { retry_after, may_have_begun })
         }
         Reply::UnknownStream => Ok(Admission::UnknownStream),
         Reply::Exhausted { remaining } => Ok(Admission::Exhausted { remaining }),
--- a/crates/transport/src/leaders.rs
+++ b/crates/transport/src/leaders.rs
@@ -31,6 +31,14 @@
     ) -> ResponseFuture<'a>;
 }
 
+/// Response to a request that may have been sent more than once.
+#[derive(Debug)]
+pub(crate) struct Routed {
+    pub(crate) response: Response,
+    /// Whether it was sent before, without a response.
+    pub(crate) is_repeated: bool,
+}
+
 /// Timing of the search for a leader.
 #[derive(Debug, Clone)]
 pub(crate) struct Settings {
@@ -102,6 +110,16 @@
         request: &Request,
         timeout: Duration,
     ) -> Result<Response, Unreachable> {
+        Ok(self.route_once(group, request, timeout).await?.response)
+    }
+
+    /// As [`Leaders::route`], and tells whether an attempt before the response may have been executed.
+    pub(crate) async fn route_once(
+        &self,
+        group: u32,
+        request: &Request,
+        timeout: Duration,
+    ) -> Result<Routed, Unreachable> {
         let start = Instant::now();
         let mut refusals = 0;
         let mut may_be_executed = false;
@@ -138,11 +156,12 @@
                 }
                 Ok(response) => {
                     self.set_leader(group, Some(target));
-                    return Ok(response);
+                    return Ok(Routed { response, is_repeated: may_be_executed });
                 }
             }
         }
-        if may_be_executed { Err(Unreachable) } else { Ok(Response::NotLeader(None)) }
+        let response = Response::NotLeader(None);
+        if may_be_executed { Err(Unreachable) } else { Ok(Routed { response, is_repeated: false }) }
     }
 
     /// Returns the known leader, or the next replica in turn; `None` if no replica is known.
