fix(gateway): a connection is refused only once its request arrives

Ruled out: the limit of connections ("limit reached", "makes room": none in the log), the drain after the refusal (errors within 1 to 90 ms). Change: an entry looks at the first byte before it takes the memory of a connection; one that is closed without a byte is left as silent. Conclusion: what decides is a byte, not the readiness of the socket.

--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -116,9 +116,11 @@
     let connection = Arc::new(connection);
     let idle_timeout = entry.limits().idle_timeout;
     let mut stopping = phase.clone();
+    // The socket may be reported as readable before anything has arrived.
+    let mut first = [0; 1];
     let has_bytes = tokio::select! {
-        readable = tokio::time::timeout(idle_timeout, stream.readable()) => {
-            matches!(readable, Ok(Ok(())))
+        peeked = tokio::time::timeout(idle_timeout, stream.peek(&mut first)) => {
+            matches!(peeked, Ok(Ok(1..)))
         }
         () = connection.closed() => false,
         // A connection that was opened during the stop is served in any case.
