fix(gateway): a repeatable request is forwarded again while the other entry has no room

The caller of an entry whose links hang waited until its deadline (4.0 s) and got a 502 for a request that may be repeated.

Change: a request that may have been executed, and may be repeated, is forwarded again after the pause that the refusal names, or 100 ms, to entries drawn anew, until its deadline; earlier attempts are still awaited beside it. If the pause exceeds the time that is left it ends at once, as before. Each refusal is logged with status and pause. A request that was not executed is refused as before.

Conclusion: the refusal says that there is no room now; asking again later, and others, uses the time that the caller gave. It ends only with the deadline.

--- a/crates/transport/src/gateway/dialect.rs
+++ b/crates/transport/src/gateway/dialect.rs
@@ -144,6 +144,9 @@
     /// Whether a response with this status says that the request was not executed.
     fn denies_execution(&self, status: StatusCode) -> bool;
 
+    /// Returns the pause after which a response invites the sender to return; `None` without one.
+    fn retry_after(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Reads the rate limit that a backend server announces with a response, in requests per
     /// second of all instances together; `None` if it announces none.
     ///
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -2,6 +2,10 @@
 //!
 //! The other entry handles the request as if its caller had sent it there; this one relays the
 //! response unchanged. A forwarded request is not forwarded again.
+//!
+//! The other entry may have no room, or not be reached either, for a moment. A request that a backend
+//! server may have executed can't be refused for that, since it would not be sent again. If it may be
+//! repeated, it is forwarded once more after a pause, until its deadline.
 
 use crate::clock::millis;
 use crate::gateway::attempt::Attempt;
@@ -12,17 +16,21 @@
 use crate::gateway::sending::{self, MIN_DISPATCH_TIME};
 use bytes::Bytes;
 use coordination::placement::Outcome;
-use http::{HeaderMap, HeaderName, HeaderValue, Response, request};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, request};
 use hyper::body::Incoming;
 use protocol::routes::{Retry, Route};
 use rand::seq::IndexedRandom;
 use state::error::Kind;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Maximum number of entries to which a request is forwarded, one after the other.
 const MAX_RELAYS: usize = 3;
 
+/// Pause before a request is forwarded again if no entry names one.
+const FORWARD_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Header with the id of the backend server, in a response from one entry to another.
 const SERVER: HeaderName = HeaderName::from_static("buckthornshelf-server");
 
@@ -44,6 +52,17 @@
     NoResponse(String),
 }
 
+/// Result of forwarding a request to some entries, one after the other.
+enum Round {
+    /// One responded.
+    Answered(Box<Answered>),
+    /// One refused a request that a backend server may have executed before, perhaps with a pause after
+    /// which it may come again.
+    Refused { status: StatusCode, pause: Option<Duration> },
+    /// None responded.
+    NoResponse,
+}
+
 impl Handler {
     /// Whether the request should be forwarded: this instance reaches no backend server, another
     /// entry does, and the request came from a caller.
@@ -69,8 +88,38 @@
         body: &Bytes,
         deadline: Instant,
     ) -> Result<Option<Answered>, Error> {
+        loop {
+            let refused = match self.forward_once(metadata, route, head, body, deadline).await? {
+                Round::Answered(answered) => return Ok(Some(*answered)),
+                Round::NoResponse if !self.may_have_executed => return Ok(None),
+                Round::NoResponse => None,
+                Round::Refused { status, pause } => Some((status, pause)),
+            };
+            let pause = refused.and_then(|(_, pause)| pause).unwrap_or_default();
+            let pause = pause.max(FORWARD_RETRY_PAUSE);
+            if Instant::now() + pause + MIN_DISPATCH_TIME >= deadline {
+                let Some((status, _)) = refused else {
+                    return Ok(None);
+                };
+                let detail = format!("the entry that it was forwarded to answers {status}");
+                return Err(Refusal::new(Kind::Failed, detail).into());
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Forwards the request to one entry after another until one responds.
+    async fn forward_once(
+        &mut self,
+        metadata: &Metadata,
+        route: &Route,
+        head: &request::Parts,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> Result<Round, Error> {
         let relays = self.entry.member.relays();
         let chosen: Vec<&String> = relays.sample(&mut rand::rng(), MAX_RELAYS).collect();
+        let mut round = Round::NoResponse;
         for relay in chosen {
             match self.forward_to(relay, metadata, head, body, deadline).await? {
                 Forwarded::Answered(answered) => {
@@ -78,11 +127,15 @@
                     let response = self.observe_server(&metadata.id, response);
                     let status = response.status();
                     if self.may_have_executed && self.entry.adapter.denies_execution(status) {
-                        let detail = format!("the entry that it was forwarded to answers {status}");
-                        return Err(Refusal::new(Kind::Failed, detail).into());
+                        let pause = self.entry.adapter.retry_after(response.headers());
+                        let (request, pause_ms) = (&metadata.id, pause.map(millis));
+                        tracing::info!(request, relay, %status, pause_ms, "not taken by the entry");
+                        round = Round::Refused { status, pause };
+                        continue;
                     }
                     let is_stream = route.is_stream;
-                    return Ok(Some(Answered::forwarded(response, attempt, is_stream, deadline)));
+                    let answered = Answered::forwarded(response, attempt, is_stream, deadline);
+                    return Ok(Round::Answered(Box::new(answered)));
                 }
                 Forwarded::Unreachable => {}
                 Forwarded::NoResponse(_) if route.retry == Retry::Always => {
@@ -93,7 +146,7 @@
                 }
             }
         }
-        Ok(None)
+        Ok(round)
     }
 
     /// Applies what the backend server of a forwarded request announces: this entry passes that on,
