fix(member): the load of an entry that reaches no backend server is not counted

Entries count the requests that others have outstanding. Since a request stays with a silent server until it is answered elsewhere, an entry whose links hang reports all that it had sent, up to 5 on each of two servers with 4 slots in the play, until their deadlines. The other entry, the only one that reaches the servers, found them full ("usable for 3000 ms") while they were idle, and refused its own callers too.

Change: the control instances leave the load of a partitioned entry out of the sums. A server that does execute some of these requests refuses what is too much for it, and that is true.

--- a/crates/transport/src/member/register.rs
+++ b/crates/transport/src/member/register.rs
@@ -180,10 +180,12 @@
     }
 
     /// Returns the number of requests that all entries except `name` have outstanding on each of
-    /// `servers`.
+    /// `servers`. Those of an entry that reaches no server are left out: most have not arrived, and a
+    /// server that executes one refuses what is too much for it.
     pub(crate) fn loads(&self, name: &str, servers: &[Listing]) -> Vec<u32> {
         let mut sums: Map<&str, u32> = Map::default();
-        for heartbeat in self.heartbeats(Role::Entry).filter(|heartbeat| heartbeat.name != name) {
+        let counts = |entry: &&Heartbeat| entry.name != name && !entry.is_partitioned;
+        for heartbeat in self.heartbeats(Role::Entry).filter(counts) {
             for (server, load) in &heartbeat.in_flight {
                 *sums.entry(server).or_default() += load;
             }
