fix(gateway): limits that change apply to connections that are kept

Cause: beside a change of the config, a request on a kept connection got neither an answer nor a refusal. Two tests have shown it since: a head within a limit that was raised was cut off, and a connection was closed by the idle timeout of its opening although that had been raised. The HTTP library fixes both limits when the handler of a connection is made, and callers keep connections for hours. Ruled out: the table itself, which is in force for the next request (requests_beside_changes_of_the_limits_are_lost).

Ways weighed: a larger buffer and limits of our own in front of it (the library bounds what waits to be written by the same figure, so callers that read slowly would hold more memory); a graceful close when limits change (closes connections on which a request may be under way to us). Chosen: a new handler on the same connection.

Change: while a connection is idle (no request in progress, nothing left to write), and the limits in force differ from its own, its handler is replaced; what it had received of the next head is handed on. `gateway/exchange.rs` tells when that is so. A connection that began before the first configuration is now kept, since its limits are replaced too.

Conclusion: no decision about a request depends on the limits of the past, and no connection is closed for the change.

--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -273,6 +273,16 @@
         self.table().map(|table| *table.limits()).unwrap_or_default()
     }
 
+    /// Completes once the limits of the configuration differ from `limits`.
+    pub(super) async fn limits_other_than(&self, limits: &Limits) {
+        let differs = |table: &Option<Arc<Table>>| {
+            let table = table.as_ref();
+            table.is_some_and(|table| table.limits() != limits)
+        };
+        // The entry holds the sender, so that the wait doesn't fail.
+        let _ = self.table.subscribe().wait_for(differs).await;
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.member.clock.now()
     }
--- a/crates/transport/src/gateway/mod.rs
+++ b/crates/transport/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod error;
 mod events;
+mod exchange;
 mod flow;
 mod forward;
 mod framing;
--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -6,8 +6,11 @@
 use crate::connections::{Connection, Connections};
 use crate::gateway::dialect::Refusal;
 use crate::gateway::entry::Entry;
+use crate::gateway::exchange::{Guarded, Progress, Stream};
 use crate::gateway::flow::{self, RETRY_AFTER, Source};
+use crate::gateway::relay::Abort;
 use crate::memory::Kind as Purpose;
+use bytes::Bytes;
 use http::{Request, Version};
 use http_body_util::{BodyExt, Collected};
 use hyper::body::Incoming;
@@ -138,59 +141,77 @@
         return;
     }
     // The limits on heads are part of the configuration.
-    let is_configured = entry.await_start("", DEFAULT_TIMEOUT).await.is_some();
-    Box::pin(serve_requests(entry, stream, phase, source, connection, is_configured)).await;
+    entry.await_start("", DEFAULT_TIMEOUT).await;
+    Box::pin(serve_requests(entry, stream, phase, source, connection)).await;
     drop(grant);
 }
 
 async fn serve_requests(
     entry: Arc<Entry>,
-    stream: TcpStream,
+    socket: TcpStream,
     mut phase: watch::Receiver<Phase>,
     source: Source,
     connection: Arc<Connection>,
-    is_configured: bool,
 ) {
-    let limits = entry.limits();
     let knows_chunks = AtomicBool::new(true);
+    let progress = Arc::new(Progress::default());
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         connection.touch();
-        flow::respond(entry.clone(), request, source, connection.clone())
+        let guard = progress.begin();
+        let response = flow::respond(entry.clone(), request, source, connection.clone());
+        async { Ok::<_, Abort>(response.await?.map(|body| Guarded::new(body, guard))) }
     });
     // A connection that is opened during a stop serves one request. A graceful shutdown before that
     // would close it unread.
     let is_stopping = *phase.borrow() >= Phase::Closing;
     let last_phase = if is_stopping { Phase::Closed } else { Phase::Closing };
-    let mut served = http1::Builder::new()
-        // With the limits that apply without a configuration, one request is served at most.
-        .keep_alive(!is_stopping && is_configured)
-        .timer(TokioTimer::new())
-        // hyper counts this timeout from the end of the last response, so it also limits how
-        // long a connection may be idle.
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes + BUFFER_MARGIN)
-        .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        ended = &mut served => ended,
-        () = connection.closed() => {
-            entry.member.budget.metrics.give_up("idle connection");
-            return;
-        }
-        () = wait_for_phase(&mut phase, last_phase) => {
-            Pin::new(&mut served).graceful_shutdown();
-            (&mut served).await
-        }
+    let mut stream = Stream { socket, received: Bytes::new(), progress: progress.clone() };
+    let (ended, stream) = loop {
+        let limits = entry.limits();
+        let mut served = http1::Builder::new()
+            .keep_alive(!is_stopping)
+            .timer(TokioTimer::new())
+            // hyper counts this timeout from the end of the last response, so it also limits how
+            // long a connection may be idle.
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.head_bytes + BUFFER_MARGIN)
+            .auto_date_header(false)
+            .serve_connection(TokioIo::new(stream), &service);
+        let are_limits_replaced = async {
+            entry.limits_other_than(&limits).await;
+            progress.idle().await;
+            if connection.has_unread_body() {
+                // It is about to be closed.
+                std::future::pending::<()>().await;
+            }
+        };
+        let ended = tokio::select! {
+            ended = &mut served => ended,
+            () = are_limits_replaced => {
+                let parts = served.into_parts();
+                stream = Stream { received: parts.read_buf, ..parts.io.into_inner() };
+                continue;
+            }
+            () = connection.closed() => {
+                entry.member.budget.metrics.give_up("idle connection");
+                return;
+            }
+            () = wait_for_phase(&mut phase, last_phase) => {
+                Pin::new(&mut served).graceful_shutdown();
+                (&mut served).await
+            }
+        };
+        break (ended, served.into_parts().io.into_inner());
     };
     match ended {
-        Ok(()) if connection.has_unread_body() => linger(served.into_parts().io.inner()).await,
+        Ok(()) if connection.has_unread_body() => linger(&stream.socket).await,
         Ok(()) => {}
         Err(error) => {
             tracing::debug!(%error, "connection of a caller ended");
             if !knows_chunks.load(Ordering::Relaxed) {
                 // The end of the connection would complete the body.
-                reset(served.into_parts().io.inner());
+                reset(&stream.socket);
             }
         }
     }
