fix(gateway): callers receive the refusal of a head that is too large

Cause: a caller whose request head exceeds the limit got no answer but a reset: the HTTP library writes 431 and ends, the connection is closed with bytes unread, and the reset overtakes the refusal. The same for a malformed head (400).

Change: what the caller goes on sending after such a refusal is dropped for at most 1 s and 4 MiB, as after a refused body. The refusal is logged.

Conclusion: the connection is closed with nothing unread, so no reset is sent.

--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -207,6 +207,11 @@
     match ended {
         Ok(()) if connection.has_unread_body() => linger(&stream.socket).await,
         Ok(()) => {}
+        // It was refused by the protocol handler, while the caller may still be sending.
+        Err(error) if error.is_parse() => {
+            tracing::info!(%error, "head of a request refused");
+            linger(&stream.socket).await;
+        }
         Err(error) => {
             tracing::debug!(%error, "connection of a caller ended");
             if !knows_chunks.load(Ordering::Relaxed) {
