fix(transport): a request to an endpoint keeps its connection while it is handled

Cause: at the limit of an endpoint's connections, one that had been without a new request for the longest time was closed although its request was being handled, and its caller (an operator, a probe, a metrics client) got no answer.

Change: a request without a body marks its connection as needed until it is answered. One with a body doesn't, since an upload may stall; operators repeat such an order.

Measured: connections::request_to_an_endpoint_is_closed_to_make_room: fails before, passes after.

--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -5,6 +5,7 @@
 use crate::connections::{Connection, Connections};
 use bytes::Bytes;
 use http::{Request, Response};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -74,8 +75,10 @@
 
 /// Answers the requests on one connection.
 async fn answer(stream: TcpStream, handler: Arc<dyn Handler>, connection: Connection) {
-    let service = service_fn(|request| async {
+    let service = service_fn(|request: Request<Incoming>| async {
         connection.touch();
+        // An upload may stall, and makes room for others then.
+        let _busy = request.body().is_end_stream().then(|| connection.busy());
         Ok::<_, Infallible>(handler.handle(request).await)
     });
     let served = http1::Builder::new()
--- a/crates/transport/tests/main.rs
+++ b/crates/transport/tests/main.rs
@@ -4,6 +4,7 @@
 
 mod access;
 mod bad_input;
+mod connections;
 mod endless;
 mod operators;
 mod repeated_refusals;
