fix(gateway): a request on a connection over the limit is refused

Cause: while all connections of callers had requests, a further one was closed unread, so its caller got neither an answer nor a refusal.

Change: once its request arrives, it gets 503 with a time to come back, and is closed after that.

Conclusion: "not run" is true, since nothing of it is read; within the bound every caller learns it.

--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -25,7 +25,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// Maximum number of concurrent connections of callers, however many descriptors the machine has.
 /// Connections to backend servers and other instances need some of them.
@@ -49,6 +49,10 @@
 /// limit of bodies or beyond it.
 const LINGER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Number of connections for each one that is being refused at the same time. Further ones are closed
+/// unread.
+const CONNECTIONS_PER_REFUSAL: usize = 16;
+
 /// Size of the buffer into which bytes are dropped.
 const LINGER_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -80,6 +84,8 @@
         Source::Callers => Connections::new("callers", limits.callers.min(MAX_CONNECTIONS)),
         Source::Entries => Connections::new("forwarded requests", limits.relays),
     };
+    let refusals = (connections.limit() / CONNECTIONS_PER_REFUSAL).max(1);
+    let refusals = Arc::new(Semaphore::new(refusals));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -95,6 +101,9 @@
                     entry.member.budget.metrics.give_up("connection over the limit");
                     let limit = connections.limit();
                     tracing::warn!(%from, limit, "caller refused: limit reached");
+                    if let Ok(permit) = refusals.clone().try_acquire_owned() {
+                        tokio::spawn(refuse_over_limit(entry.clone(), stream, permit));
+                    }
                 }
             },
             Err(error) => {
@@ -137,7 +146,7 @@
     if grant.resize(CONNECTION_BYTES).await.is_err() {
         entry.member.budget.metrics.give_up("connection without memory");
         tracing::info!(limit = entry.member.budget.limit(), "caller refused: no memory is left");
-        refuse_unread(&entry, &stream).await;
+        refuse_unread(&entry, &stream, "there is no memory for the connection").await;
         return;
     }
     // The limits on heads are part of the configuration.
@@ -222,9 +231,18 @@
     }
 }
 
-/// Refuses the request of a connection that there is no memory for, without reading it.
-async fn refuse_unread(entry: &Entry, stream: &TcpStream) {
-    let detail = "there is no memory for the connection";
+/// Refuses the request of a connection over the limit once it arrives.
+async fn refuse_over_limit(entry: Arc<Entry>, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    let mut first = [0; 1];
+    let peeked = tokio::time::timeout(LINGER_TIMEOUT, stream.peek(&mut first)).await;
+    if matches!(peeked, Ok(Ok(1..))) {
+        refuse_unread(&entry, &stream, "all connections have requests").await;
+    }
+    drop(permit);
+}
+
+/// Refuses the request of a connection without reading it.
+async fn refuse_unread(entry: &Entry, stream: &TcpStream, detail: &str) {
     let refusal = Refusal::retryable(Kind::Overloaded, RETRY_AFTER, detail);
     let (head, body) = entry.adapter.refusal_response(None, &refusal).into_parts();
     let Ok(body) = body.collect().await.map(Collected::to_bytes);
