fix(gateway): a request that waits for the configuration doesn't make room

Cause: a connection whose request had arrived while its entry had no configuration counted as one on which nobody had spoken, and was the first to be closed at the limit. Its caller got no answer. The same for a request without a body until its body was "read".

Change: a connection counts as needed while it waits for the configuration (3 s at most, and only after a start), and from the head on if its request has no body.

Conclusion: uploads in progress still make room, complete requests never do.

--- a/crates/transport/src/gateway/flow.rs
+++ b/crates/transport/src/gateway/flow.rs
@@ -24,6 +24,7 @@
 use crate::memory::{Grant, Kind as Purpose};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, request};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use protocol::organisations::{KeyDigest, Organisation};
 use protocol::routes::{Route, Table};
@@ -104,6 +105,8 @@
     // A caller that waits for an interim response is refused before it sends the body.
     let awaits_continue = head.headers.contains_key(header::EXPECT);
     let id = metadata.as_ref().map(|metadata| metadata.id.clone()).unwrap_or_default();
+    // A request without a body is complete, whatever it waits for.
+    let busy = body.is_end_stream().then(|| connection.busy());
     let mut handler = Handler {
         progress: Progress {
             entry: entry.clone(),
@@ -125,7 +128,7 @@
         key: None,
         connection,
         body: Some(body),
-        busy: None,
+        busy,
     };
     let outcome = match metadata {
         Ok(metadata) => handler.handle_until_stopped(&metadata, head).await,
@@ -387,7 +390,7 @@
         };
         let error = match body::read_with(budget, body, limit, extra, deadline).await {
             Ok(body) => {
-                self.busy = Some(self.connection.busy());
+                self.busy.get_or_insert_with(|| self.connection.busy());
                 return Ok(body);
             }
             Err(body::Error::Lost) => return Err(Error::Aborted(Abort::Caller)),
--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -149,8 +149,11 @@
         refuse_unread(&entry, &stream, "there is no memory for the connection").await;
         return;
     }
-    // The limits on heads are part of the configuration.
+    // The limits on heads are part of the configuration. What has arrived may be a complete request.
+    connection.touch();
+    let busy = connection.busy();
     entry.await_start("", DEFAULT_TIMEOUT).await;
+    drop(busy);
     Box::pin(serve_requests(entry, stream, phase, source, connection)).await;
     drop(grant);
 }
