fix(coordination): a leaving voter goes after its successor votes

The planner removed the retiring voter and made the caught-up learner a voter in a later step; in between there were two voters, both needed, and `done` was said.

Change: no step reduces the number of voters that the group can lose. A lost voter goes before its successor votes, as before, since it counts for nothing; a leaving one goes after that, so a group of three has four for a moment. A voter beyond the target is removed, also when a retirement is taken back; a leader that leaves hands over only then.

Conclusion: `done` is said when the machine is no member, and that now means that its successor votes.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -5,6 +5,10 @@
 //! at a time: a spare instance joins as a learner, catches up, and replaces a voter that is lost
 //! or leaving. The old voter is removed only after its successor has caught up, so that a
 //! replacement never reduces the number of complete copies of the log.
+//!
+//! No step reduces the number of voters that the group can lose. A voter that is lost goes before its
+//! successor votes, since it counts for nothing. One that is leaving still counts, and goes after that:
+//! without it, a group of three would have two voters for a while, and could lose none.
 
 use crate::Millis;
 use crate::consensus::{Id, Members, Replica};
@@ -73,6 +77,9 @@
         if !leader.is_established() {
             return Step::Idle;
         }
+        if members.voters.len() > self.settings.target {
+            return self.remove_surplus(now, leader, present);
+        }
         let learner = members.learners.keys().next().copied();
         match learner {
             Some(learner) => self.promote(now, leader, learner, present),
@@ -99,24 +106,48 @@
         last_seen.is_some_and(|(_, at)| now >= at + self.settings.lost_after_ms)
     }
 
-    /// Selects a voter to replace: one whose disk was wiped, else a lost one, else a leaving one.
+    /// Selects a voter to replace: one that counts no more, else a leaving one.
     fn voter_to_replace(
         &self,
         now: Millis,
         members: &Members,
         present: &[Candidate],
     ) -> Option<Id> {
+        let is_leaving = |id: Id| present.iter().any(|c| c.id == id && c.is_leaving);
+        let leaving = || members.voters.keys().copied().find(|id| is_leaving(*id));
+        self.gone_voter(now, members, present).or_else(leaving)
+    }
+
+    /// Selects a voter that counts no more: one whose disk was wiped, else a lost one.
+    fn gone_voter(&self, now: Millis, members: &Members, present: &[Candidate]) -> Option<Id> {
         let is_wiped = |id: &Id, address: &String| {
             present.iter().any(|candidate| candidate.address == *address && candidate.id != *id)
                 && !present.iter().any(|candidate| candidate.id == *id)
         };
         let wiped = members.voters.iter().find(|(id, address)| is_wiped(id, address));
         let lost = || members.voters.iter().find(|(id, _)| self.is_lost(now, **id));
-        let leaving = || {
-            let is_leaving = |id: Id| present.iter().any(|c| c.id == id && c.is_leaving);
-            members.voters.iter().find(|(id, _)| is_leaving(**id))
-        };
-        wiped.or_else(lost).or_else(leaving).map(|(id, _)| *id)
+        wiped.or_else(lost).map(|(id, _)| *id)
+    }
+
+    /// Removes a voter beyond the target: the one that was replaced, or any other one if that stays.
+    fn remove_surplus(&self, now: Millis, leader: &Replica, present: &[Candidate]) -> Step {
+        let members = leader.members();
+        let others = || members.voters.keys().copied().rfind(|id| *id != leader.id());
+        match self.voter_to_replace(now, members, present).or_else(others) {
+            Some(surplus) => self.remove(now, leader, surplus),
+            None => Step::Idle,
+        }
+    }
+
+    /// Removes a voter, unless the others are too few without it.
+    fn remove(&self, now: Millis, leader: &Replica, voter: Id) -> Step {
+        if voter == leader.id() {
+            return Step::Transfer;
+        }
+        let mut members = leader.members().clone();
+        members.voters.remove(&voter);
+        let live = members.voters.keys().filter(|id| !self.is_lost(now, **id)).count();
+        if live < members.quorum() { Step::Idle } else { Step::Change(members) }
     }
 
     /// Adds a learner if a voter is missing or should be replaced.
@@ -146,8 +177,8 @@
         }
     }
 
-    /// Makes the learner a voter once it has caught up, after removing the voter that it
-    /// replaces. Removes the learner if it leaves, is wiped or lost, or is no longer needed.
+    /// Makes the learner a voter once it has caught up, after removing a lost voter that it replaces.
+    /// Removes the learner if it leaves, is wiped or lost, or is no longer needed.
     fn promote(
         &mut self,
         now: Millis,
@@ -174,24 +205,18 @@
         if leader.matched(learner).is_none_or(|matched| matched < barrier) {
             return Step::Idle;
         }
-        if members.voters.len() < self.settings.target {
-            if let Some(address) = members.learners.remove(&learner) {
-                members.voters.insert(learner, address);
-            }
-            return Step::Change(members);
+        let gone = self.gone_voter(now, &members, present);
+        let is_full = members.voters.len() >= self.settings.target;
+        if let Some(gone) = gone.filter(|_| is_full) {
+            return self.remove(now, leader, gone);
         }
-        match self.voter_to_replace(now, &members, present) {
-            Some(replaced) if replaced == leader.id() => Step::Transfer,
-            Some(replaced) => {
-                members.voters.remove(&replaced);
-                let live = members.voters.keys().filter(|id| !self.is_lost(now, **id)).count();
-                if live < members.quorum() { Step::Idle } else { Step::Change(members) }
-            }
-            None => {
-                members.learners.remove(&learner);
-                Step::Change(members)
-            }
+        let replaced = self.voter_to_replace(now, &members, present);
+        if let Some(address) = members.learners.remove(&learner)
+            && (!is_full || replaced.is_some())
+        {
+            members.voters.insert(learner, address);
         }
+        Step::Change(members)
     }
 }
 
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -2,6 +2,9 @@
 
 use coordination::consensus::{Members, Replica, Restored, Settings};
 use coordination::membership::{self, Candidate, Planner, Step, initial_members};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
 
 fn candidate(id: u64) -> Candidate {
     Candidate {
@@ -177,3 +180,52 @@
     all[4].is_leaving = true;
     assert_eq!(initial_members(5, &all), None);
 }
+
+/// Guards against retirements that leave so few voters that the loss of one disk ends the group.
+#[test]
+fn two_retirements_and_a_loss_leave_too_few_voters() {
+    for seed in 0..500 {
+        check_two_retirements_and_a_loss(seed);
+    }
+}
+
+/// Retires two of four instances and wipes another one, at times drawn by the seed, and checks after each
+/// step that the group could lose one voter more, unless it has just lost one.
+fn check_two_retirements_and_a_loss(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut group = Group::new();
+    let mut present = present(&[1, 2, 3, 14, 25, 36]);
+    [14, 25, 36].into_iter().for_each(|id| group.start(id));
+    let mut order = [2, 3, 14];
+    order.shuffle(&mut rng);
+    let retired = &order[..2];
+    let times: Vec<u64> = order.iter().map(|_| rng.random_range(0..30)).collect();
+    let mut lost = None;
+    for step in 0..100 {
+        for candidate in &mut present {
+            let index = retired.iter().position(|id| *id == candidate.id);
+            candidate.is_leaving |= index.is_some_and(|index| step >= times[index]);
+        }
+        let members = group.replicas[0].members().clone();
+        // What is no member any more is taken away with its disk.
+        let is_done = |c: &Candidate| c.is_leaving && !members.contains(c.id);
+        present.iter().filter(|c| is_done(c)).for_each(|c| group.stop(c.id));
+        present.retain(|candidate| !is_done(candidate));
+        if step == times[2] {
+            let old = order[2];
+            lost = members.is_voter(old).then_some(old);
+            group.stop(old);
+            group.start(old + 50);
+            present.retain(|candidate| candidate.id != old);
+            present.push(candidate(old + 50));
+        }
+        let voters = group.run(100, &present);
+        // The loss lasts until another replica votes in its place.
+        lost = lost.filter(|id| voters.contains(id) || voters.len() < 3);
+        let live = voters.iter().filter(|id| group.replicas.iter().any(|r| r.id() == **id)).count();
+        let needed = voters.len() / 2 + 1 + usize::from(lost.is_none());
+        assert!(live >= needed, "seed {seed}, step {step}: {voters:?}, {lost:?} lost");
+    }
+    let voters = group.replicas[0].members().voters.len();
+    assert_eq!(voters, 3, "seed {seed}: {:?}", group.replicas[0].members());
+}
