fix(gateway): a repeatable request waits for room until its deadline once it was executed

A request that may be repeated, whose server ended, waits for another one for 0.3 of the time that is left, like a new one. A new one is refused then and comes back; this one gets 502, which for its caller is the end of the call, while 0.7 of its time is left.

Change: once a request may have been executed, it waits for room until its deadline. Requests that were not executed are refused as early as before.

Measured: lost_requests::repeatable_request_is_ended_because_the_other_server_ has_no_room_for_a_while: 502 before, 200 after.

Conclusion: the only answers that are left for it are that of a server and an error, and the error is given when nothing better can come.

--- a/crates/transport/src/gateway/sending.rs
+++ b/crates/transport/src/gateway/sending.rs
@@ -284,7 +284,12 @@
         }
         let arrived = Instant::now();
         let remaining = outbound.deadline.saturating_duration_since(arrived);
-        let share = if is_new { NEW_PLACEMENT_SHARE } else { PLACEMENT_SHARE };
+        let share = match is_new {
+            // It can't come back: a refusal would not be true.
+            _ if self.may_have_executed => 1.0,
+            true => NEW_PLACEMENT_SHARE,
+            false => PLACEMENT_SHARE,
+        };
         let limit = remaining.mul_f64(share);
         let waiter = match Waiter::join(&self.entry, outbound.service, class, limit) {
             Ok(waiter) => waiter,
