fix(gateway): a pause without limit in a refusal doesn't break off the request

Cause: read while going through again: the pause that a refusal names was added to the time of day. The other entry passes on what a backend server answers, so a server that answers 503 with a Retry-After of 1e18 s would have made the task of the request panic, and its caller would have got no answer.

Change: the pause is decided in `retry::pause_within`, in milliseconds that saturate, against the time that remains.

Measured: retry::pause_that_a_refusal_names_exceeds_any_deadline passes; it is of the decision, which didn't exist before. No play with such a server was made.

Conclusion: nothing that a header says is added to a point in time any more.

--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -9,6 +9,19 @@
 /// Maximum number of retries in a budget; also its initial value.
 const RETRY_BURST: f64 = 10.0;
 
+/// Pause in milliseconds before a request that was refused is sent again, with `remaining` until its
+/// deadline: the one that the refusal names, but at least `least`. `None` if less than `needed` would
+/// remain after it.
+pub fn pause_within(
+    named: Option<Millis>,
+    least: Millis,
+    remaining: Millis,
+    needed: Millis,
+) -> Option<Millis> {
+    let pause = named.unwrap_or(least).max(least);
+    (pause.saturating_add(needed) < remaining).then_some(pause)
+}
+
 /// Retry budget that is replenished by successes, so that retries stay a bounded share of the
 /// requests when a service fails.
 #[derive(Debug, Clone, Copy)]
--- a/crates/coordination/tests/retry.rs
+++ b/crates/coordination/tests/retry.rs
@@ -1,6 +1,6 @@
 //! Tests of retry budgets, backoff delays and token buckets.
 
-use coordination::retry::{Backoff, Bucket, Budget};
+use coordination::retry::{Backoff, Bucket, Budget, pause_within};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -31,3 +31,14 @@
     let granted = (0..10_000u64).filter(|now| bucket.take(*now)).count();
     assert!((50..=52).contains(&granted), "{granted}");
 }
+
+/// Guards against a panic by the sum of a pause without limit and the time of day.
+#[test]
+fn pause_that_a_refusal_names_exceeds_any_deadline() {
+    assert_eq!(pause_within(Some(u64::MAX), 100, 4_000, 15), None);
+    assert_eq!(pause_within(Some(3_985), 100, 4_000, 15), None);
+    assert_eq!(pause_within(Some(400), 100, 4_000, 15), Some(400));
+    assert_eq!(pause_within(Some(5), 100, 4_000, 15), Some(100));
+    assert_eq!(pause_within(None, 100, 4_000, 15), Some(100));
+    assert_eq!(pause_within(None, 100, 0, 15), None);
+}
--- a/crates/transport/src/gateway/forward.rs
+++ b/crates/transport/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 use crate::gateway::sending::{self, MIN_DISPATCH_TIME};
 use bytes::Bytes;
 use coordination::placement::Outcome;
+use coordination::retry;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, request};
 use hyper::body::Incoming;
 use protocol::routes::{Retry, Route};
@@ -95,16 +96,17 @@
                 Round::NoResponse => None,
                 Round::Refused { status, pause } => Some((status, pause)),
             };
-            let pause = refused.and_then(|(_, pause)| pause).unwrap_or_default();
-            let pause = pause.max(FORWARD_RETRY_PAUSE);
-            if Instant::now() + pause + MIN_DISPATCH_TIME >= deadline {
+            let named = refused.and_then(|(_, pause)| pause).map(millis);
+            let remaining = millis(deadline.saturating_duration_since(Instant::now()));
+            let (least, needed) = (millis(FORWARD_RETRY_PAUSE), millis(MIN_DISPATCH_TIME));
+            let Some(pause) = retry::pause_within(named, least, remaining, needed) else {
                 let Some((status, _)) = refused else {
                     return Ok(None);
                 };
                 let detail = format!("the entry that it was forwarded to answers {status}");
                 return Err(Refusal::new(Kind::Failed, detail).into());
-            }
-            tokio::time::sleep(pause).await;
+            };
+            tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 
