--- a/crates/transport/src/gateway/exchange.rs
+++ b/crates/transport/src/gateway/exchange.rs
@@ -18,14 +18,14 @@
 
 /// What is in progress on a connection.
 #[derive(Debug, Default)]
-pub(super) struct Progress {
+pub(super) struct Activity {
     requests: AtomicUsize,
     /// Whether a write waits for the caller.
     is_blocked: AtomicBool,
     changed: Notify,
 }
 
-impl Progress {
+impl Activity {
     /// Counts a request until the guard is dropped.
     pub(super) fn begin(self: &Arc<Self>) -> Guard {
         self.requests.fetch_add(1, Ordering::Relaxed);
@@ -53,7 +53,7 @@
 
 /// A request in progress, until the end of its response is handed over for writing.
 #[derive(Debug)]
-pub(super) struct Guard(Arc<Progress>);
+pub(super) struct Guard(Arc<Activity>);
 
 impl Drop for Guard {
     fn drop(&mut self) {
@@ -101,13 +101,13 @@
     pub(super) socket: TcpStream,
     /// What an earlier protocol handler has received and not handled.
     pub(super) received: Bytes,
-    pub(super) progress: Arc<Progress>,
+    pub(super) activity: Arc<Activity>,
 }
 
 impl Stream {
     /// Records whether a write waits for the caller.
     fn observe<T>(&self, written: Poll<T>) -> Poll<T> {
-        self.progress.set_blocked(written.is_pending());
+        self.activity.set_blocked(written.is_pending());
         written
     }
 }
--- a/crates/transport/src/gateway/server.rs
+++ b/crates/transport/src/gateway/server.rs
@@ -6,7 +6,7 @@
 use crate::connections::{Connection, Connections};
 use crate::gateway::dialect::Refusal;
 use crate::gateway::entry::Entry;
-use crate::gateway::exchange::{Guarded, Progress, Stream};
+use crate::gateway::exchange::{Activity, Guarded, Stream};
 use crate::gateway::flow::{self, RETRY_AFTER, Source};
 use crate::gateway::relay::Abort;
 use crate::memory::Kind as Purpose;
@@ -166,11 +166,11 @@
     connection: Arc<Connection>,
 ) {
     let knows_chunks = AtomicBool::new(true);
-    let progress = Arc::new(Progress::default());
+    let activity = Arc::new(Activity::default());
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         connection.touch();
-        let guard = progress.begin();
+        let guard = activity.begin();
         let response = flow::respond(entry.clone(), request, source, connection.clone());
         async { Ok::<_, Abort>(response.await?.map(|body| Guarded::new(body, guard))) }
     });
@@ -178,7 +178,7 @@
     // would close it unread.
     let is_stopping = *phase.borrow() >= Phase::Closing;
     let last_phase = if is_stopping { Phase::Closed } else { Phase::Closing };
-    let mut stream = Stream { socket, received: Bytes::new(), progress: progress.clone() };
+    let mut stream = Stream { socket, received: Bytes::new(), activity: activity.clone() };
     let (ended, stream) = loop {
         let limits = entry.limits();
         let mut served = http1::Builder::new()
@@ -192,7 +192,7 @@
             .serve_connection(TokioIo::new(stream), &service);
         let are_limits_replaced = async {
             entry.limits_other_than(&limits).await;
-            progress.idle().await;
+            activity.idle().await;
             if connection.has_unread_body() {
                 // It is about to be closed.
                 std::future::pending::<()>().await;
