test(review): show that one entry stops the list of servers

Cause: an entry of another writer with a control character in a string makes the whole page of the provider's list unreadable, since the list is split by a JSON reader that refuses such characters. The order of events: the entry appears, no instance reads the list any more, a server is listed as draining, and gets requests until it ends.

Change: review/12 serves such a list, lets a server leave as planned, and checks what reaches it after DrainMs. The stand-ins of review/stand-3 learn to change the list and to end a server.

--- a/review/stand-3/log_reader.rs
+++ b/review/stand-3/log_reader.rs
@@ -24,9 +24,12 @@
 const CALM: Duration = Duration::from_secs(4);
 const UNREAD: Duration = Duration::from_secs(12);
 
+/// Time for which a runner works on a request.
+const WORK: Duration = Duration::from_millis(20);
+
 /// Runs the case; returns whether the rule was broken.
 pub fn run(record: Record) -> bool {
-    let deployment = Arc::new(Deployment::start(record.clone(), "", CONFIG));
+    let deployment = Arc::new(Deployment::start(record.clone(), "", WORK, CONFIG));
     let is_over = Arc::new(AtomicBool::new(false));
     let ends: Arc<Mutex<Vec<(u64, Option<u16>)>>> = Arc::default();
     let consumers: Vec<_> = (0..CONSUMERS)
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -2,6 +2,7 @@
 
 mod log_reader;
 mod no_tenants;
+mod odd_entry;
 mod stand;
 
 fn main() {
@@ -16,7 +17,8 @@
     stand::end_after(std::time::Duration::from_secs(110));
     let run = match number {
         "11" => log_reader::run,
-        "12" => no_tenants::run,
+        "12" => odd_entry::run,
+        "13" => no_tenants::run,
         _ => {
             eprintln!("no case {number}");
             std::process::exit(2);
--- a/review/stand-3/no_tenants.rs
+++ b/review/stand-3/no_tenants.rs
@@ -41,10 +41,13 @@
     (0..REQUESTS).map(send_one).collect()
 }
 
+/// Time for which a runner works on a request.
+const WORK: Duration = Duration::from_millis(20);
+
 /// Runs the case; returns whether a rule was broken.
 pub fn run(record: Record) -> bool {
     let both = r#"[{"Name":"t1","ApiKeys":["key-1"]}]"#;
-    let deployment = Deployment::start(record.clone(), BOUNDS, &config(1, both));
+    let deployment = Deployment::start(record.clone(), BOUNDS, WORK, &config(1, both));
     let before = send(&deployment, "key-1");
     // Without the disruption, the tenant stays, and only its key is taken away.
     let after = if has_trouble() { "[]" } else { r#"[{"Name":"t1","ApiKeys":[]}]"# };
--- a/review/stand-3/stand.rs
+++ b/review/stand-3/stand.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -22,6 +22,9 @@
 const RUNNER: u16 = 8000;
 const LIST: u16 = 7200;
 
+/// Number of runners.
+const RUNNERS: usize = 4;
+
 /// What was sent, answered and run, in the order in which it was seen.
 #[derive(Clone)]
 pub struct Record(Arc<Mutex<(File, Instant)>>);
@@ -42,6 +45,8 @@
 /// A request as a runner got it.
 #[derive(Clone, Debug)]
 pub struct Got {
+    pub at: Instant,
+    pub runner: String,
     pub id: String,
     pub headers: HashMap<String, String>,
 }
@@ -98,11 +103,27 @@
     Some((first, headers, body))
 }
 
-/// A sound runner of a plain service: it runs each request at once, for `work`.
-fn serve_runner(id: String, address: SocketAddr, work: Duration, runs: Runs, record: Record) {
+/// A sound runner of a plain service: it runs each request at once, for `work`. When it ends, it closes all its
+/// channels and its address.
+fn serve_runner(
+    id: String,
+    address: SocketAddr,
+    work: Duration,
+    runs: Runs,
+    record: Record,
+    has_ended: Arc<AtomicBool>,
+) {
     let listener = TcpListener::bind(address).expect("address of a runner");
+    listener.set_nonblocking(true).expect("a listener that can be polled");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        let mut channels = Vec::new();
+        while !has_ended.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            stream.set_nonblocking(false).expect("a channel that waits");
+            channels.push(stream.try_clone().expect("a second handle"));
             let (id, runs, record) = (id.clone(), runs.clone(), record.clone());
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
@@ -124,7 +145,8 @@
                     let path = first.split(' ').nth(1).unwrap_or_default().to_owned();
                     let credential = headers.get("x-credential").map_or("none", String::as_str);
                     record.line(&format!("runner {id} runs {request} {path}, X-Credential {credential}"));
-                    runs.0.lock().unwrap().push(Got { id: request.clone(), headers });
+                    let got = Got { at: Instant::now(), runner: id.clone(), id: request.clone(), headers };
+                    runs.0.lock().unwrap().push(got);
                     thread::sleep(work);
                     let body = format!("{id} ran {request}");
                     let answer = format!(
@@ -138,11 +160,13 @@
                 }
             });
         }
+        drop(listener);
+        channels.iter().for_each(|channel| drop(channel.shutdown(Shutdown::Both)));
     });
 }
 
 /// Serves the provider's list.
-fn serve_list(address: SocketAddr, list: String) {
+fn serve_list(address: SocketAddr, list: Arc<Mutex<Vec<u8>>>) {
     let listener = TcpListener::bind(address).expect("address of the list");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -151,11 +175,14 @@
                 let mut writer = stream.try_clone().expect("a second handle");
                 let mut reader = BufReader::new(stream);
                 while read_message(&mut reader).is_some() {
-                    let answer = format!(
-                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{list}",
+                    let list = list.lock().unwrap().clone();
+                    let mut answer = format!(
+                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                         list.len()
-                    );
-                    if writer.write_all(answer.as_bytes()).is_err() {
+                    )
+                    .into_bytes();
+                    answer.extend_from_slice(&list);
+                    if writer.write_all(&answer).is_err() {
                         return;
                     }
                 }
@@ -183,6 +210,8 @@
     network: String,
     bounds: &'static str,
     next: AtomicU64,
+    list: Arc<Mutex<Vec<u8>>>,
+    runners: Vec<Arc<AtomicBool>>,
 }
 
 impl Drop for Deployment {
@@ -204,7 +233,7 @@
 
 impl Deployment {
     /// Starts three core machines, three stores, two fronts, and runners of one plain service.
-    pub fn start(record: Record, bounds: &'static str, config: &str) -> Self {
+    pub fn start(record: Record, bounds: &'static str, work: Duration, config: &str) -> Self {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").subsec_nanos();
         let mut seed = now ^ std::process::id().wrapping_mul(2_654_435_761);
         let network = loop {
@@ -218,20 +247,15 @@
         let folder = std::env::temp_dir().join(format!("review-3-{}-{now}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("temporary folder");
         let runs = Runs::default();
-        let mut list = Vec::new();
-        for number in 0..4 {
-            let (id, ip) = (format!("i-{number}"), format!("{network}.{}", 100 + number));
-            let address = format!("{ip}:{RUNNER}");
-            let work = Duration::from_millis(20);
-            serve_runner(id.clone(), address.parse().expect("address"), work, runs.clone(), record.clone());
-            let zone = ["a", "b", "c"][number % 3];
-            list.push(format!(
-                "{{\"Id\":\"{id}\",\"Service\":\"app\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-                 \"Version\":\"v1\",\"Slots\":16,\"State\":\"ready\",\"ColdLeftMs\":0}}"
-            ));
+        let mut runners = Vec::new();
+        for number in 0..RUNNERS {
+            let address = format!("{network}.{}:{RUNNER}", 100 + number).parse().expect("address");
+            let (runs, record, has_ended) = (runs.clone(), record.clone(), Arc::<AtomicBool>::default());
+            serve_runner(format!("i-{number}"), address, work, runs, record, has_ended.clone());
+            runners.push(has_ended);
         }
-        let list = format!("{{\"Instances\":[{}],\"Next\":null}}", list.join(","));
-        serve_list(format!("{network}.200:{LIST}").parse().expect("address"), list);
+        let list = Arc::default();
+        serve_list(format!("{network}.200:{LIST}").parse().expect("address"), Arc::clone(&list));
         let mut nodes = Vec::new();
         for host in 1..=8_usize {
             let role = ["core", "core", "core", "store", "store", "store", "front", "front"][host - 1];
@@ -244,7 +268,9 @@
             });
         }
         let next = AtomicU64::new(1);
-        let mut deployment = Self { nodes, runs, record, folder, network, bounds, next };
+        let mut deployment =
+            Self { nodes, runs, record, folder, network, bounds, next, list, runners };
+        deployment.set_list(None, None);
         (0..deployment.nodes.len()).for_each(|index| deployment.launch(index, true));
         assert!(deployment.put(config), "no core machine acknowledged the desired state");
         deployment.await_ready();
@@ -315,6 +341,29 @@
         self.nodes[index].child = Some(child);
     }
 
+    /// Sets the provider's list: all runners, of which one may be draining, and perhaps an entry of another writer.
+    pub fn set_list(&self, draining: Option<usize>, other: Option<&[u8]>) {
+        let network = &self.network;
+        let entry = |number: usize| {
+            let (zone, address) = (["a", "b", "c"][number % 3], format!("{network}.{}:{RUNNER}", 100 + number));
+            let state = if draining == Some(number) { "draining" } else { "ready" };
+            format!(
+                "{{\"Id\":\"i-{number}\",\"Service\":\"app\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
+                 \"Version\":\"v1\",\"Slots\":16,\"State\":\"{state}\",\"ColdLeftMs\":0}}"
+            )
+            .into_bytes()
+        };
+        let entries = (0..RUNNERS).map(entry).chain(other.map(<[u8]>::to_vec));
+        let entries: Vec<Vec<u8>> = entries.collect();
+        let list = [b"{\"Instances\":[".as_slice(), &entries.join(&b','), b"],\"Next\":null}"].concat();
+        *self.list.lock().unwrap() = list;
+    }
+
+    /// Ends a runner.
+    pub fn end_runner(&self, number: usize) {
+        self.runners[number].store(true, Ordering::Relaxed);
+    }
+
     /// Sends a desired state to one core machine after the other until one acknowledges it.
     pub fn put(&self, config: &str) -> bool {
         let end = Instant::now() + Duration::from_secs(20);
