test(review): show that content goes on to take machines away

Cause: a machine that is away for longer than its caller waits leaves no connection that could show, once it answers again, that it is a new run. The silence ends as unknown, the suspicion is cleared, and the content comes again.

Change: review/15 sends such content twelve times through two fronts, to eight servers whose machines are away for 5 s each.

--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -1,5 +1,6 @@
 //! The cases of the third review that are scripts, one by its number.
 
+mod away;
 mod log_reader;
 mod no_tenants;
 mod odd_entry;
@@ -19,6 +20,7 @@
         "11" => log_reader::run,
         "12" => odd_entry::run,
         "13" => no_tenants::run,
+        "15" => away::run,
         _ => {
             eprintln!("no case {number}");
             std::process::exit(2);
--- a/review/stand-3/stand.rs
+++ b/review/stand-3/stand.rs
@@ -23,7 +23,7 @@
 const LIST: u16 = 7200;
 
 /// Number of runners.
-const RUNNERS: usize = 4;
+const RUNNERS: usize = 8;
 
 /// What was sent, answered and run, in the order in which it was seen.
 #[derive(Clone)]
@@ -103,9 +103,24 @@
     Some((first, headers, body))
 }
 
+/// What a runner does with content that crashes it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Crash {
+    /// It runs it like any other.
+    Never,
+    /// Its machine is away for this time: nothing that has a channel hears of it any more, and no new channel is
+    /// opened. Then the runner is back under its id, and knows nothing of before.
+    Away(Duration),
+}
+
+/// Body of a request that crashes runners.
+pub const CRASHING: &str = "order 4711: forty boards of siding, six lengths of gutter, and a remark that no parser of ours survives";
+
 /// A sound runner of a plain service: it runs each request at once, for `work`. When it ends, it closes all its
 /// channels and its address.
+#[allow(clippy::too_many_arguments)]
 fn serve_runner(
+    crash: Crash,
     id: String,
     address: SocketAddr,
     work: Duration,
@@ -116,20 +131,41 @@
     let listener = TcpListener::bind(address).expect("address of a runner");
     listener.set_nonblocking(true).expect("a listener that can be polled");
     thread::spawn(move || {
-        let mut channels = Vec::new();
+        let mut channels: Vec<TcpStream> = Vec::new();
+        let is_away = Arc::new(AtomicBool::new(false));
+        let mut fillers = Vec::new();
         while !has_ended.load(Ordering::Relaxed) {
+            if let Crash::Away(time) = crash
+                && is_away.load(Ordering::Relaxed)
+            {
+                // Once as many channels wait as the listener holds, the kernel answers no further one.
+                while let Ok(filler) = TcpStream::connect_timeout(&address, Duration::from_millis(40)) {
+                    fillers.push(filler);
+                }
+                record.line(&format!("the machine of {id} is away"));
+                thread::sleep(time);
+                fillers.clear();
+                while listener.accept().is_ok() {}
+                channels.drain(..).for_each(|channel| drop(channel.shutdown(Shutdown::Both)));
+                is_away.store(false, Ordering::Relaxed);
+                record.line(&format!("runner {id} is back"));
+            }
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(Duration::from_millis(1));
                 continue;
             };
             stream.set_nonblocking(false).expect("a channel that waits");
             channels.push(stream.try_clone().expect("a second handle"));
-            let (id, runs, record) = (id.clone(), runs.clone(), record.clone());
+            let (id, runs, record, is_away) = (id.clone(), runs.clone(), record.clone(), is_away.clone());
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
                 let mut writer = stream.try_clone().expect("a second handle");
                 let mut reader = BufReader::new(stream);
-                while let Some((first, headers, _)) = read_message(&mut reader) {
+                while let Some((first, headers, body)) = read_message(&mut reader) {
+                    if is_away.load(Ordering::Relaxed) {
+                        // The machine is away: what was read here arrived nowhere.
+                        return thread::sleep(Duration::from_secs(120));
+                    }
                     let request = headers.get("x-request-id").cloned().unwrap_or_default();
                     let expected = headers.get("x-expect-instance");
                     if expected.is_some_and(|expected| *expected != id) {
@@ -147,6 +183,10 @@
                     record.line(&format!("runner {id} runs {request} {path}, X-Credential {credential}"));
                     let got = Got { at: Instant::now(), runner: id.clone(), id: request.clone(), headers };
                     runs.0.lock().unwrap().push(got);
+                    if crash != Crash::Never && body == CRASHING.as_bytes() {
+                        is_away.store(true, Ordering::Relaxed);
+                        return thread::sleep(Duration::from_secs(120));
+                    }
                     thread::sleep(work);
                     let body = format!("{id} ran {request}");
                     let answer = format!(
@@ -234,6 +274,17 @@
 impl Deployment {
     /// Starts three core machines, three stores, two fronts, and runners of one plain service.
     pub fn start(record: Record, bounds: &'static str, work: Duration, config: &str) -> Self {
+        Self::start_with(record, bounds, work, config, Crash::Never)
+    }
+
+    /// As [`Deployment::start`], with runners that some content crashes.
+    pub fn start_with(
+        record: Record,
+        bounds: &'static str,
+        work: Duration,
+        config: &str,
+        crash: Crash,
+    ) -> Self {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").subsec_nanos();
         let mut seed = now ^ std::process::id().wrapping_mul(2_654_435_761);
         let network = loop {
@@ -251,7 +302,7 @@
         for number in 0..RUNNERS {
             let address = format!("{network}.{}:{RUNNER}", 100 + number).parse().expect("address");
             let (runs, record, has_ended) = (runs.clone(), record.clone(), Arc::<AtomicBool>::default());
-            serve_runner(format!("i-{number}"), address, work, runs, record, has_ended.clone());
+            serve_runner(crash, format!("i-{number}"), address, work, runs, record, has_ended.clone());
             runners.push(has_ended);
         }
         let list = Arc::default();
@@ -425,10 +476,24 @@
     deadline_ms: u64,
     headers: &str,
     wait: Duration,
+) -> std::io::Result<Answer> {
+    request_with(node, id, path, deadline_ms, headers, "hi", wait)
+}
+
+/// As [`request`], with a body.
+pub fn request_with(
+    node: &Node,
+    id: &str,
+    path: &str,
+    deadline_ms: u64,
+    headers: &str,
+    body: &str,
+    wait: Duration,
 ) -> std::io::Result<Answer> {
     let head = format!(
         "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
-         {headers}Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+         {headers}Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
     );
     exchange(&format!("{}:{FRONT}", node.ip), head.as_bytes(), wait)
 }
