--- a/review/stand-3/stand.rs
+++ b/review/stand-3/stand.rs
@@ -375,6 +375,12 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("target/release/buckthornshelf; run the build of the deploy file first");
+        // Whoever runs the case ends what it has started also if the case is killed.
+        if let Ok(path) = std::env::var("STARTED") {
+            let file = File::options().create(true).append(true).open(path);
+            let noted = file.and_then(|mut file| writeln!(file, "{}", child.id()));
+            noted.expect("a note of the process");
+        }
         let mut output = child.stdout.take().expect("standard output");
         let is_paused = self.nodes[index].log_paused.clone();
         thread::spawn(move || {
@@ -519,7 +525,7 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Ends the whole run with 2 if it takes too long; its processes end with their deployment's host.
+/// Ends the whole run with 2 if it takes too long; `run.sh` then ends its processes.
 pub fn end_after(limit: Duration) {
     thread::spawn(move || {
         thread::sleep(limit);
