feat(gateway): log whether a configuration in force checks keys

The line "configuration in force" named the version alone, so that a configuration that never reached an entry, one whose lease had not ended and one that checks no keys looked alike in its log. Change: the line says whether keys are checked, and how many organisations and keys there are. Conclusion: the three hypotheses can be told apart from the log of one entry.

--- a/crates/protocol/src/organisations.rs
+++ b/crates/protocol/src/organisations.rs
@@ -142,6 +142,11 @@
         self.by_key.get(key)
     }
 
+    /// Number of keys of all organisations.
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
+    }
+
     /// Returns all organisations, in the order of the configuration.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
         self.all.iter()
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -477,8 +477,17 @@
                 if self.member.usage.set_limited(self.now(), is_limited, is_first) {
                     self.member.heartbeat_trigger.notify_one();
                 }
+                let organisations = table.organisations().iter().count();
+                let keys = table.organisations().key_count();
+                let checks_keys = !table.organisations().is_empty();
                 self.table.send_replace(Some(Arc::new(table)));
-                tracing::info!(version, "configuration in force");
+                tracing::info!(
+                    version,
+                    checks_keys,
+                    organisations,
+                    keys,
+                    "configuration in force"
+                );
             }
             Err(error) => tracing::error!(version, error, "configuration cannot be applied"),
         }
