fix(gateway): a configuration with an empty list of organisations knows no key

Cause: callers with a key that was taken away, or that no configuration ever held, were served, and backend servers got the keys. A configuration whose list of organisations is empty was taken for one without a list: `platform::config` mapped missing, null and [] to the same empty list, and `Index::is_empty` then meant "no keys are checked" in four places: `authenticate`, `check_key_again` (so that a request that waits was sent after the last organisation was gone), the readiness of an entry that starts (no lease needed), and what servers are told. The users' page makes it depend on whether the configuration contains the list. Ruled out: that version 2 isn't in force (the entries' dumps name it, and tests wait for it), and the lease (with TROUBLE=0, where the organisation stays without keys, the same requests are refused). Conclusion: nothing can ask any more whether the list is empty; each place has to say what it does without a list, and a lookup in an empty one finds no key.

--- a/crates/protocol/src/organisations.rs
+++ b/crates/protocol/src/organisations.rs
@@ -1,6 +1,7 @@
 //! Organisations: whose keys callers present, and how much each organisation may send.
 //!
-//! A configuration without organisations checks no keys and limits nobody.
+//! A configuration without a list of organisations checks no keys and limits nobody. One whose list is
+//! empty knows no key: each organisation was taken away, or none was added yet.
 
 use state::collections::{Map, Set};
 use std::fmt;
@@ -132,11 +133,6 @@
         Ok(index)
     }
 
-    /// Whether there are no organisations, so that no keys are checked.
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
-
     /// Returns the organisation that holds a key.
     pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Organisation>> {
         self.by_key.get(key)
@@ -148,7 +144,7 @@
     }
 
     /// Returns all organisations, in the order of the configuration.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = &Arc<Organisation>> {
         self.all.iter()
     }
 }
--- a/crates/protocol/src/routes.rs
+++ b/crates/protocol/src/routes.rs
@@ -19,8 +19,9 @@
     pub services: Vec<Service>,
     /// Limits on the requests of callers.
     pub limits: Limits,
-    /// Organisations whose keys callers present; empty if no keys are checked.
-    pub organisations: Vec<Organisation>,
+    /// Organisations whose keys callers present; `None` if no keys are checked. Without an
+    /// organisation in the list no key is known.
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// Whether a request may be executed more than once.
@@ -164,7 +165,7 @@
     hosts: Map<String, Vec<Arc<Route>>>,
     services: Map<String, Service>,
     limits: Limits,
-    organisations: organisations::Index,
+    organisations: Option<organisations::Index>,
 }
 
 impl Table {
@@ -193,7 +194,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let organisations = organisations::Index::new(config.organisations)?;
+        let organisations = config.organisations.map(organisations::Index::new).transpose()?;
         let (version, limits) = (config.version, config.limits);
         Ok(Self { version, hosts, services, limits, organisations })
     }
@@ -208,9 +209,9 @@
         &self.limits
     }
 
-    /// Returns the organisations whose keys callers present.
-    pub fn organisations(&self) -> &organisations::Index {
-        &self.organisations
+    /// Returns the organisations whose keys callers present; `None` if no keys are checked.
+    pub fn organisations(&self) -> Option<&organisations::Index> {
+        self.organisations.as_ref()
     }
 
     /// Returns the service with this name.
--- a/crates/protocol/tests/routes.rs
+++ b/crates/protocol/tests/routes.rs
@@ -80,8 +80,9 @@
         ..Organisation::default()
     };
     let organisations = (0..880).map(organisation).collect();
-    let table = Table::new(Config { organisations, ..Config::default() }).unwrap();
-    let index = table.organisations();
+    let table =
+        Table::new(Config { organisations: Some(organisations), ..Config::default() }).unwrap();
+    let index = table.organisations().unwrap();
     assert_eq!(index.iter().count(), 880);
     for (name, organisation) in index.iter().enumerate() {
         for key in 0..5 {
@@ -98,7 +99,7 @@
     {
         let rate = Some(Rate { per_second, burst });
         let organisation = Organisation { name: "a".into(), rate, ..Organisation::default() };
-        let config = Config { organisations: vec![organisation], ..Config::default() };
+        let config = Config { organisations: Some(vec![organisation]), ..Config::default() };
         let error = Table::new(config).unwrap_err().to_string();
         assert!(error.contains(setting) && error.contains("accepted"), "{error}");
     }
--- a/crates/transport/src/gateway/entry.rs
+++ b/crates/transport/src/gateway/entry.rs
@@ -236,7 +236,7 @@
         let is_serving = *self.stop.borrow() == server::Phase::Serving;
         let is_configured = self.table().is_some_and(|table| {
             // A lease that is lost later closes no public route.
-            table.organisations().is_empty() || self.member.has_held_lease()
+            table.organisations().is_none() || self.member.has_held_lease()
         });
         is_listed && is_serving && is_configured && !self.member.is_leaving()
     }
@@ -477,17 +477,14 @@
                 if self.member.usage.set_limited(self.now(), is_limited, is_first) {
                     self.member.heartbeat_trigger.notify_one();
                 }
-                let organisations = table.organisations().iter().count();
-                let keys = table.organisations().key_count();
-                let checks_keys = !table.organisations().is_empty();
-                self.table.send_replace(Some(Arc::new(table)));
-                tracing::info!(
-                    version,
-                    checks_keys,
-                    organisations,
-                    keys,
-                    "configuration in force"
-                );
+                let checks_keys = table.organisations().is_some();
+                let organisations = table.organisations().map_or(0, |index| index.iter().len());
+                let keys = table.organisations().map_or(0, |index| index.key_count());
+                let previous = self.table.send_replace(Some(Arc::new(table)));
+                tracing::info!(version, checks_keys, organisations, keys, "configuration in force");
+                if !checks_keys && previous.is_some_and(|table| table.organisations().is_some()) {
+                    tracing::warn!(version, "keys are no longer checked");
+                }
             }
             Err(error) => tracing::error!(version, error, "configuration cannot be applied"),
         }
--- a/crates/transport/src/gateway/organisations.rs
+++ b/crates/transport/src/gateway/organisations.rs
@@ -85,11 +85,10 @@
         route: &Route,
         headers: &HeaderMap,
     ) -> Result<(), Error> {
-        let organisations = table.organisations();
-        self.checks_keys = !organisations.is_empty();
-        if !self.checks_keys || route.is_public {
+        self.checks_keys = table.organisations().is_some();
+        let Some(organisations) = table.organisations().filter(|_| !route.is_public) else {
             return Ok(());
-        }
+        };
         let Some(key) = self.entry.adapter.key(headers) else {
             let detail = "the request carries no key; exactly one is accepted on this route";
             return Err(Refusal::new(Kind::Unauthorized, detail).into());
@@ -120,9 +119,11 @@
         };
         let table = self.entry.table();
         let is_known = table.is_none_or(|table| {
-            let organisations = table.organisations();
-            let holder = organisations.find(key);
-            organisations.is_empty() || holder.is_some_and(|o| o.name == organisation.name)
+            // A configuration that checks no keys takes none away.
+            table.organisations().is_none_or(|organisations| {
+                let holder = organisations.find(key);
+                holder.is_some_and(|holder| holder.name == organisation.name)
+            })
         });
         let refusal = match (self.entry.member.may_accept_keys(), is_known) {
             (true, true) => return Ok(()),
--- a/crates/transport/src/gateway/usage.rs
+++ b/crates/transport/src/gateway/usage.rs
@@ -45,7 +45,8 @@
 
 /// Whether an organisation of the configuration has a limit.
 pub(super) fn is_limited(table: &Table) -> bool {
-    table.organisations().iter().any(|organisation| organisation.rate.is_some())
+    let organisations = table.organisations();
+    organisations.is_some_and(|index| index.iter().any(|organisation| organisation.rate.is_some()))
 }
 
 impl Handler {
