fix(control): a label without a rule allows no failure domain

A program whose label has no rule in its deployment ran in every failure domain of the deployment: `allows` skipped labels that it didn't find. So a misspelt label, or a ticket that removes the rule of a label, opened what an empty rule closes. Change: such a label allows no backend server, and a new program with one is refused with the labels that there are. Measured: control::label_without_a_rule_allows_every_failure_domain and bad_input::program_with_an_unknown_label_is_opened failed before (allowed; 200 for 403), pass after.

--- a/crates/state/src/control/config.rs
+++ b/crates/state/src/control/config.rs
@@ -76,7 +76,8 @@
     pub servers: Vec<String>,
     /// Failure domains in which its data may be processed.
     pub failure_domains: Vec<String>,
-    /// For each label, the failure domains to which programs with that label are restricted.
+    /// For each label, the failure domains to which programs with that label are restricted. Those with
+    /// a label that is not in the map may use no backend server.
     #[serde(default)]
     pub labels: BTreeMap<String, Vec<String>>,
     /// Maximum budget of one program.
@@ -93,8 +94,12 @@
             && self.failure_domains.contains(domain)
             && labels
                 .iter()
-                .filter_map(|label| self.labels.get(label))
-                .all(|domains| domains.contains(domain))
+                .all(|label| self.labels.get(label).is_some_and(|domains| domains.contains(domain)))
+    }
+
+    /// Returns the first of these labels for which there is no rule.
+    pub fn unknown_label<'a>(&self, labels: &'a [String]) -> Option<&'a str> {
+        labels.iter().map(String::as_str).find(|label| !self.labels.contains_key(*label))
     }
 }
 
--- a/crates/state/tests/control.rs
+++ b/crates/state/tests/control.rs
@@ -131,6 +131,22 @@
     assert!(!config.allows("other", "m1", &[]));
 }
 
+/// Guards against a program that runs in every failure domain, since the rule of its label was removed or
+/// its label is misspelt.
+#[test]
+fn label_without_a_rule_allows_every_failure_domain() {
+    let mut config = control().snapshot().config.clone();
+    assert!(config.allows("dep", "m1", &["health".to_owned()]));
+    assert!(!config.allows("dep", "m1", &["heath".to_owned()]));
+    assert!(!config.allows("dep", "m1", &["health".to_owned(), "heath".to_owned()]));
+    let rules = config.deployments.get_mut("dep").unwrap();
+    rules.labels.insert("nowhere".into(), Vec::new());
+    assert!(!config.allows("dep", "m1", &["nowhere".to_owned()]));
+    config.deployments.get_mut("dep").unwrap().labels.clear();
+    assert!(!config.allows("dep", "m1", &["health".to_owned()]));
+    assert!(config.allows("dep", "m1", &[]));
+}
+
 #[test]
 fn a_new_incarnation_waits_for_the_old_lease() {
     let mut control = control();
--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -162,6 +162,14 @@
             let detail = format!("deployment {deployment:?} has no rules; apply a ticket");
             return Err(unexecuted(Kind::PlacementForbidden, detail));
         };
+        if let Some(label) = rules.unknown_label(&open.labels)
+            && !self.exists(&program).await?
+        {
+            let known: Vec<&String> = rules.labels.keys().collect();
+            let detail =
+                format!("deployment {deployment:?} has no label {label:?}; accepted: {known:?}");
+            return Err(unexecuted(Kind::PlacementForbidden, detail));
+        }
         let cap = rules.cap;
         let is_refusing = view.is_overloaded || self.is_stopping.load(Ordering::Relaxed);
         if is_refusing && !self.exists(&program).await? {
--- a/crates/transport/tests/bad_input.rs
+++ b/crates/transport/tests/bad_input.rs
@@ -101,6 +101,19 @@
     fixture.node.stop().await;
 }
 
+/// Guards against a program that is opened with a label for which its deployment has no rule.
+#[tokio::test(flavor = "multi_thread")]
+async fn program_with_an_unknown_label_is_opened() {
+    let fixture = Fixture::start(|_, _| {}).await;
+    let mut open = open_body("p");
+    open["labels"] = json!(["abroad", "abraod"]);
+    let refused = fixture.call("POST", "/v1/programs", Some(open.clone()), None).await;
+    assert_eq!(refusal(&refused), (403, "placement_forbidden", "no"));
+    open["labels"] = json!(["abroad"]);
+    assert_eq!(fixture.call("POST", "/v1/programs", Some(open), None).await.0, 200);
+    fixture.node.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_beyond_max_tokens_is_truncated() {
     let fixture = fixture_with_small_limits().await;
