fix(control): a change without a state is malformed

A ticket whose change leaves `state` out removed the object, as `"state": null` does, which docs/INTERFACE.md names alone. Change: the field has to be there. The encoding of commands doesn't change: postcard has no missing fields. Measured: operators::change_without_a_state_removes_its_object failed before (200 for 400), passes after; encodings:: pass. Conclusion: only null removes.

--- a/crates/state/src/control/ticket.rs
+++ b/crates/state/src/control/ticket.rs
@@ -14,7 +14,8 @@
     pub changes: Vec<Change>,
 }
 
-/// Complete new state of one object; `None` removes the object.
+/// Complete new state of one object; `None` removes the object. The state has to be there, so that one
+/// that was left out by mistake removes nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Change {
@@ -23,7 +24,7 @@
         /// Name of the deployment.
         name: String,
         /// New rules.
-        #[serde(default)]
+        #[serde(deserialize_with = "Option::deserialize")]
         state: Option<Deployment>,
     },
     /// Change of a backend server.
@@ -31,7 +32,7 @@
         /// Name of the backend server.
         name: String,
         /// New attributes.
-        #[serde(default)]
+        #[serde(deserialize_with = "Option::deserialize")]
         state: Option<Server>,
     },
     /// Change of a service.
@@ -39,7 +40,7 @@
         /// Name of the service.
         name: String,
         /// New attributes.
-        #[serde(default)]
+        #[serde(deserialize_with = "Option::deserialize")]
         state: Option<Service>,
     },
 }
--- a/crates/transport/tests/operators.rs
+++ b/crates/transport/tests/operators.rs
@@ -31,6 +31,25 @@
     fixture.node.stop().await;
 }
 
+/// Guards against a ticket that removes an object because its new state was left out.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_without_a_state_removes_its_object() {
+    let fixture = Fixture::start(|_, _| {}).await;
+    let path = "/v1/tickets?wait_ms=4000";
+    let without = json!({ "number": 4, "changes": [{ "deployment": { "name": "mine" } }] });
+    let (status, body) = fixture.operate("POST", path, Some(without), None).await;
+    assert_eq!((status, body["error"].as_str()), (400, Some("malformed")), "{body}");
+    let (_, config) = fixture.operate("GET", "/v1/config", None, None).await;
+    assert!(config["deployments"]["mine"].is_object());
+    let removal =
+        json!({ "number": 4, "changes": [{ "deployment": { "name": "mine", "state": null } }] });
+    let (status, body) = fixture.operate("POST", path, Some(removal), None).await;
+    assert_eq!(status, 200, "{body}");
+    let (_, config) = fixture.operate("GET", "/v1/config", None, None).await;
+    assert!(config["deployments"]["mine"].is_null());
+    fixture.node.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_is_released_after_a_program_ends_and_counted() {
     let fixture = Fixture::start(|_, _| {}).await;
