fix(gateway): a turn whose tokens can't be counted is charged what it reserved

On a service without `Engine`, with null or without `TokensPerEvent` each event counted 0 tokens, so that no turn drew on its program's budget and none was refused. Change: `Turn::count` charges the whole reservation if the tokens of an event are unknown. Conclusion: unknown is charged at its most, as for a turn whose end never arrives.

--- a/crates/protocol/src/routes.rs
+++ b/crates/protocol/src/routes.rs
@@ -86,7 +86,8 @@
     /// Maximum number of connections that each backend server accepts from all clients
     /// together.
     pub max_connections: u32,
-    /// Number of tokens in each event of a model engine's stream; 0 for other services.
+    /// Number of tokens in each event of a model engine's stream; 0 if that is unknown, as for services
+    /// that are no engines.
     pub tokens_per_event: u64,
 }
 
--- a/crates/transport/src/gateway/relay.rs
+++ b/crates/transport/src/gateway/relay.rs
@@ -305,7 +305,7 @@
                 self.events_between = Some((first_count, first_at, now));
             }
             if let Some(turn) = &mut self.turn {
-                turn.tokens = events.count * self.tokens_per_event;
+                turn.count(events.count, self.tokens_per_event);
             }
         }
         Ok(())
--- a/crates/transport/src/gateway/turns.rs
+++ b/crates/transport/src/gateway/turns.rs
@@ -75,7 +75,9 @@
     id: String,
     program: Option<String>,
     /// Tokens that were relayed to the caller.
-    pub(crate) tokens: u64,
+    tokens: u64,
+    /// Tokens that the turn may use.
+    reserved: u64,
     /// Id of the backend server that executes the turn.
     pub(crate) server: Option<String>,
     is_open: bool,
@@ -92,12 +94,14 @@
     ) -> (Self, Result<Admission, Unreachable>) {
         begin.now_ms = clock::unix_ms();
         let program = begin.reservation.as_ref().map(|reservation| reservation.program.clone());
+        let reserved = begin.reservation.as_ref().map_or(0, |reservation| reservation.tokens);
         let mut turn = Self {
             member: member.clone(),
             id: begin.turn.clone(),
             is_open: program.is_some(),
             program,
             tokens: 0,
+            reserved,
             server: None,
         };
         let previous = begin.previous.clone();
@@ -116,6 +120,15 @@
         (turn, admission)
     }
 
+    /// Counts the tokens of the events that were relayed to the caller. If it is not known how many an event
+    /// has, the turn has used all that it reserved.
+    pub(crate) fn count(&mut self, events: u64, tokens_per_event: u64) {
+        self.tokens = match tokens_per_event {
+            0 => self.reserved,
+            _ => events.saturating_mul(tokens_per_event),
+        };
+    }
+
     /// Leaves the end of the turn to the entry that the request is forwarded to.
     pub(crate) fn hand_over(&mut self) {
         self.is_open = false;
