--- a/crates/transport/src/member/metrics.rs
+++ b/crates/transport/src/member/metrics.rs
@@ -20,6 +20,7 @@
 impl Metrics {
     /// Adds the counters to the metrics that the instance serves.
     pub(crate) fn register(&self, registry: &mut Registry) {
+        crate::log::register(registry);
         self.memory.register(registry);
         let help = "Size of the registries sent to other instances, in bytes";
         registry.register("registry_bytes_sent", help, self.registry_bytes_sent.clone());
