fix(log): the lock of the buffer is free while lines are written

Cause: callers of a front got no answer, no new connection was served, no heartbeat was sent and no signal handled, some seconds after somebody stopped reading the front's standard output. `flush` shadowed the guard of the buffer's lock by the lines that it took out, so that the guard lived to the end of the function, over the write to the full pipe. The next line that the thread of the tasks logged waited for that lock. The limit of the buffer was never reached, since nothing could be added. Ruled out: a write on the thread of the tasks (its wchan), and too little processor time (the front whose output is read goes on). The stop had the same fault: dropping the log wrote the rest on the main thread, so that the process didn't end on SIGTERM. Change: the lines are taken out in a scope of their own. Lines that are being written count towards the limit. A drop with nothing else to write is reported, too. Conclusion: no lock is held while the process waits for the reader, so that senders wait for memory copies alone, and the limit drops what doesn't fit.

--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -61,6 +61,13 @@
     is_closed: bool,
 }
 
+impl Lines {
+    /// Whether there is nothing to write.
+    fn is_empty(&self) -> bool {
+        self.bytes.is_empty() && self.dropped == 0
+    }
+}
+
 /// Counts what happens to lines.
 #[derive(Debug, Clone, Default)]
 struct Metrics {
@@ -73,7 +80,7 @@
 struct Buffer {
     /// Lines held until the next write.
     held: Mutex<Lines>,
-    /// Signalled when a line is added to an empty buffer, and when the log is closed.
+    /// Signalled when there is something to write, and when the log is closed.
     filled: Condvar,
     /// Signalled after each write.
     written: Condvar,
@@ -95,6 +102,7 @@
             if lines.bytes.len() + lines.writing + bytes.len() > self.0.limit {
                 lines.dropped += 1;
                 self.0.metrics.dropped_lines.inc();
+                self.0.filled.notify_one();
             } else {
                 if lines.bytes.is_empty() {
                     self.0.filled.notify_one();
@@ -135,30 +143,37 @@
         }
     }
 
-    /// Waits until the buffer holds a line, and returns whether the log is closed. Returns `None` if
+    /// Waits until there is something to write, and returns whether the log is closed. Returns `None` if
     /// there will be no further line, or if the lock is poisoned.
     fn wait(&self) -> Option<bool> {
         let lines = self.held.lock().ok()?;
-        let is_idle = |lines: &mut Lines| lines.bytes.is_empty() && !lines.is_closed;
+        let is_idle = |lines: &mut Lines| lines.is_empty() && !lines.is_closed;
         let lines = self.filled.wait_while(lines, is_idle).ok()?;
-        (!lines.bytes.is_empty()).then_some(lines.is_closed)
+        (!lines.is_empty()).then_some(lines.is_closed)
     }
 
     /// Writes the held lines, and the number of dropped lines if any were.
     fn flush(&self, output: &mut dyn Write) {
-        let Ok(mut lines) = self.held.lock() else {
-            return;
+        let (bytes, dropped) = {
+            let Ok(mut lines) = self.held.lock() else {
+                return;
+            };
+            lines.writing = lines.bytes.len();
+            (std::mem::take(&mut lines.bytes), std::mem::take(&mut lines.dropped))
         };
-        let lines = std::mem::take(&mut *lines);
+        // The lock is free here: a write takes as long as the reader of the output.
         self.metrics.is_writing.set(1);
         // Errors are ignored: if the output is closed, there is nowhere to report them.
-        let _ = output.write_all(&lines.bytes);
-        if lines.dropped > 0 {
-            let _ = writeln!(output, "{{\"level\":\"WARN\",\"dropped_lines\":{}}}", lines.dropped);
+        let _ = output.write_all(&bytes);
+        if dropped > 0 {
+            let _ = writeln!(output, "{{\"level\":\"WARN\",\"dropped_lines\":{dropped}}}");
         }
         let _ = output.flush();
         self.metrics.is_writing.set(0);
-        self.metrics.held_bytes.set(0);
+        if let Ok(mut lines) = self.held.lock() {
+            lines.writing = 0;
+            self.count_held(&lines);
+        }
         self.written.notify_all();
     }
 
@@ -169,7 +184,7 @@
         };
         lines.is_closed = true;
         self.filled.notify_one();
-        let is_busy = |lines: &mut Lines| !lines.bytes.is_empty() || lines.writing > 0;
+        let is_busy = |lines: &mut Lines| !lines.is_empty() || lines.writing > 0;
         let _ = self.written.wait_timeout_while(lines, timeout, is_busy);
     }
 }
--- a/crates/transport/tests/main.rs
+++ b/crates/transport/tests/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod connections;
 mod endless;
+mod log;
 mod operators;
 mod repeated_refusals;
 mod secrets;
