fix(platform): a process that can't start ends, also while nobody reads why

The reason for an exit was written to standard error by the main thread. While nobody reads that, the process neither served nor ended, so that the platform had nothing to restart. Change: `log::report` writes it from a thread of its own and waits 200 ms at most. Conclusion: the exit code says that the process failed; the text is lost only if nobody reads.

--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -44,6 +44,9 @@
     }
 }
 
+/// Time for which a process that ends waits until the reason is written to standard error.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Reason why logging cannot start.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("log: {0}")]
@@ -235,6 +238,19 @@
     }
 }
 
+/// Writes the reason why the process ends to standard error, unless nobody reads that.
+pub fn report(text: String) {
+    let (done, written) = std::sync::mpsc::channel();
+    let thread = std::thread::Builder::new().name("report".to_owned()).spawn(move || {
+        // A closed standard error leaves no way to report the failure.
+        let _ = writeln!(std::io::stderr(), "{text}");
+        let _ = done.send(());
+    });
+    if thread.is_ok() {
+        let _ = written.recv_timeout(REPORT_TIMEOUT);
+    }
+}
+
 /// Metrics of the log of this process.
 static INSTALLED: OnceLock<Metrics> = OnceLock::new();
 
