fix(daemon): the log of the daemon doesn't hold up its tasks

The daemon of the own interface wrote each line to standard error on the thread that logged it. While nobody read that, both threads of its tasks waited: no call was answered, and SIGTERM didn't end it. The reason why it can't start was written the same way. Change: the daemon uses the log and the report of `transport::log`; its metrics have those of the log. A filter that can't be parsed is an error at the start (exit code 2), as on the platform; parts of it were ignored before. Dropped lines are reported in the log's form. Conclusion: one log for both programs, whose senders never wait.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,11 +5,11 @@
 //! 2 for invalid settings.
 
 use argh::FromArgs;
-use protocol::settings::{Format, Log, Settings};
+use protocol::settings::Settings;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
-use transport::Node;
+use transport::{Node, log};
 
 /// Worker threads of the asynchronous runtime.
 const WORKER_THREADS: usize = 2;
@@ -34,14 +34,23 @@
     let settings = match read_settings(arguments.settings.as_deref()) {
         Ok(settings) => settings,
         Err(message) => {
-            print_error(&message);
-            return ExitCode::from(EXIT_INVALID_SETTINGS);
+            return fail(&message, ExitCode::from(EXIT_INVALID_SETTINGS));
         }
     };
     if arguments.check {
         return ExitCode::SUCCESS;
     }
-    init_logging(&settings.log);
+    let log = log::Settings {
+        filter: settings.log.filter.clone(),
+        format: settings.log.format,
+        ..log::Settings::default()
+    };
+    let _log = match log::start(&log, Box::new(std::io::stderr())) {
+        Ok(log) => log,
+        Err(error) => {
+            return fail(&error.to_string(), ExitCode::from(EXIT_INVALID_SETTINGS));
+        }
+    };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
@@ -52,10 +61,7 @@
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            print_error(&message);
-            ExitCode::FAILURE
-        }
+        Err(message) => fail(&message, ExitCode::FAILURE),
     }
 }
 
@@ -93,16 +99,7 @@
     Ok(())
 }
 
-fn init_logging(log: &Log) {
-    let filter = tracing_subscriber::EnvFilter::new(&log.filter);
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    match log.format {
-        Format::Text => builder.with_ansi(false).init(),
-        Format::Json => builder.json().init(),
-    }
-}
-
-#[expect(clippy::print_stderr, reason = "logging may not be initialised yet")]
-fn print_error(message: &str) {
-    eprintln!("buckthornshelfd: {message}");
+fn fail(message: &str, code: ExitCode) -> ExitCode {
+    log::report(format!("buckthornshelfd: {message}"));
+    code
 }
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -89,6 +89,7 @@
     written: Condvar,
     /// Maximum size of the held lines, in bytes.
     limit: usize,
+    format: Format,
     metrics: Metrics,
 }
 
@@ -169,7 +170,12 @@
         // Errors are ignored: if the output is closed, there is nowhere to report them.
         let _ = output.write_all(&bytes);
         if dropped > 0 {
-            let _ = writeln!(output, "{{\"level\":\"WARN\",\"dropped_lines\":{dropped}}}");
+            let _ = match self.format {
+                Format::Text => writeln!(output, "WARN dropped_lines={dropped}"),
+                Format::Json => {
+                    writeln!(output, "{{\"level\":\"WARN\",\"dropped_lines\":{dropped}}}")
+                }
+            };
         }
         let _ = output.flush();
         self.metrics.is_writing.set(0);
@@ -211,6 +217,7 @@
             filled: Condvar::new(),
             written: Condvar::new(),
             limit: settings.buffer_bytes,
+            format: settings.format,
             metrics: Metrics::default(),
         });
         let (thread_buffer, flush_interval) = (buffer.clone(), settings.flush_interval);
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -105,6 +105,7 @@
         ));
         let mut metrics = Metrics::new();
         metrics.register(|registry| memory_metrics.register(registry));
+        metrics.register(crate::log::register);
         let metrics = Arc::new(metrics);
         let entry =
             Entry::new(settings.entry.clone(), clock.start_unix_ms(), rand::rng().next_u64());
