fix(log): a panic goes to the log, not to standard error

The hook of the standard library writes a panic to standard error on the thread that panics, and on the only thread of the tasks a full pipe there would hold everything up; a panic of a single request is otherwise contained by its task. Change: `log::start` installs a hook that logs it with the thread's name, and the backtrace if RUST_BACKTRACE asks for one.

--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -9,7 +9,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use protocol::settings::Format;
+use std::backtrace::{Backtrace, BacktraceStatus};
 use std::io::Write;
+use std::panic::PanicHookInfo;
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::Duration;
 use tracing_subscriber::EnvFilter;
@@ -261,7 +263,7 @@
 /// Metrics of the log of this process.
 static INSTALLED: OnceLock<Metrics> = OnceLock::new();
 
-/// Starts logging for this process.
+/// Starts logging for this process, of panics as well.
 ///
 /// # Errors
 ///
@@ -283,9 +285,19 @@
     };
     installed.map_err(|error| Error(error.to_string()))?;
     let _ = INSTALLED.set(log.buffer.metrics.clone());
+    std::panic::set_hook(Box::new(log_panic));
     Ok(log)
 }
 
+/// Logs a panic. The hook of the standard library writes it to standard error, which may not be read.
+fn log_panic(panic: &PanicHookInfo<'_>) {
+    let thread = std::thread::current();
+    let backtrace = Backtrace::capture();
+    let backtrace = (backtrace.status() == BacktraceStatus::Captured).then_some(backtrace);
+    let backtrace = backtrace.map(tracing::field::display);
+    tracing::error!(thread = thread.name(), %panic, backtrace, "a thread has panicked");
+}
+
 /// Adds the metrics of the log of this process, if it has one.
 pub(crate) fn register(registry: &mut Registry) {
     let Some(metrics) = INSTALLED.get() else {
