fix(member): a process whose disk hangs at the start handles signals

The data folder was opened on the only thread of the tasks, and SIGTERM was looked at only after the start. With a disk that hangs, nothing of the process went on, and it was killed at the end of the grace period. Conclusion: the thread that handles signals never waits for a disk at the start.

--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -25,6 +25,7 @@
 use protocol::presence::{Heartbeat, Reply, Role, Roster, Update};
 use protocol::wire::{Request, Response};
 use state::collections::Map;
+use state::error::Storage;
 use state::machine;
 use state::registry::{Command, Query, Registry, Voter};
 use std::future::Future;
@@ -161,14 +162,15 @@
         member.leaders.set_replicas(CONTROL, &member.control_addresses(), None);
         transport.set_handler(member.clone());
         tokio::spawn(transport.serve(listener));
-        member.open_replica()?;
+        member.open_replica().await?;
         tokio::spawn(beats::run(member.clone()));
         tokio::spawn(fetch::run(member.clone()));
         Ok(member)
     }
 
-    /// Opens the local replica, if the role has one, and starts it once it is initialized.
-    fn open_replica(self: &Arc<Self>) -> Result<(), Error> {
+    /// Opens the local replica, if the role has one, and starts it once it is initialized. The disk is used
+    /// on a thread of its own: it may hang, and this thread handles signals.
+    async fn open_replica(self: &Arc<Self>) -> Result<(), Error> {
         let group = match self.settings.role {
             Role::Entry => return Ok(()),
             Role::Control => CONTROL,
@@ -177,13 +179,18 @@
         let folder = self.settings.folder.as_ref();
         let folder =
             folder.ok_or_else(|| Error::new("an instance with a replica needs a data folder"))?;
-        let mut replica = Replica::open(group, &self.settings, folder).map_err(Error::new)?;
-        if group == CONTROL
-            && replica.is_uninitialized()
-            && let Some((id, initial_members)) = control_initial_members(&self.settings)
-        {
-            replica.bootstrap(id, &initial_members).map_err(Error::new)?;
-        }
+        let (settings, folder) = (self.settings.clone(), folder.clone());
+        let opened = tokio::task::spawn_blocking(move || {
+            let mut replica = Replica::open(group, &settings, &folder)?;
+            if group == CONTROL
+                && replica.is_uninitialized()
+                && let Some((id, initial_members)) = control_initial_members(&settings)
+            {
+                replica.bootstrap(id, &initial_members)?;
+            }
+            Ok::<_, Storage>(replica)
+        });
+        let replica = opened.await.map_err(Error::new)?.map_err(Error::new)?;
         self.id.get_or_init(|| replica.identity.id);
         if group == PROGRAMS && replica.is_uninitialized() {
             tokio::spawn(self.clone().await_bootstrap(replica));
