fix(endpoint): an answer that nobody reads takes no more than its share of the memory

Endpoints for operators, metrics, probes and the directory held each response until its caller had read it or was closed to make room for another connection; what they held was in no budget. 100 operators who ask for a configuration of 6 MB and don't read it took a control instance beyond its 256 MB. Change: a response of more than 16 KiB takes its memory from the budget until it is written, or is refused with 503. A connection that takes no byte for 10 s is closed. Measured: unread_answers::unread_answers_take_more_than_the_memory_of_the_process failed before (305,016 kB within 5 s of 256,000) and unread_answer_is_held_for_as_long_as_its_connection (whole after 12 s); after: both pass. Conclusion: callers who don't read share what the budget gives to responses, and hold it for 10 s after the last byte that they took.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -61,20 +61,20 @@
 }
 
 /// Bytes with the memory that they take.
-pub(crate) struct Held {
-    content: Vec<u8>,
+pub(crate) struct Held<T> {
+    content: T,
     _grant: Grant,
 }
 
-impl Held {
-    pub(crate) fn new(content: Vec<u8>, grant: Grant) -> Self {
+impl<T> Held<T> {
+    pub(crate) fn new(content: T, grant: Grant) -> Self {
         Self { content, _grant: grant }
     }
 }
 
-impl AsRef<[u8]> for Held {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.content
+        self.content.as_ref()
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -36,6 +36,7 @@
 mod rpc;
 mod storage;
 mod tcp;
+mod unread;
 
 pub use journal::Unreachable;
 pub use node::{Error, Node};
--- a/crates/transport/tests/connections.rs
+++ b/crates/transport/tests/connections.rs
@@ -26,7 +26,7 @@
 #[tokio::test]
 async fn request_to_an_endpoint_is_closed_to_make_room() {
     let address = format!("127.0.0.1:{}", rand::random_range(20_000_u16..50_000));
-    endpoint::serve(&address, Arc::new(Slow), 1).await.unwrap();
+    endpoint::serve(&address, Arc::new(Slow), 1, None).await.unwrap();
     let mut first = TcpStream::connect(&address).await.unwrap();
     first.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
     tokio::time::sleep(Duration::from_millis(100)).await;
