fix(member): a bootstrap that the disk refuses is repeated

Change: the write is made on a thread for blocking work, and repeated each 500 ms until the disk accepts it. Conclusion: the identity is written whole or not at all, so that a repeated write is safe.

--- a/crates/transport/src/member/node.rs
+++ b/crates/transport/src/member/node.rs
@@ -201,7 +201,7 @@
 
     /// Waits until the registry lists the initial members of the program journal, then starts the
     /// replica, as one of them or as a member to be added later.
-    async fn await_bootstrap(self: Arc<Self>, mut replica: Replica) {
+    async fn await_bootstrap(self: Arc<Self>, replica: Replica) {
         let mut view = self.view.subscribe();
         let is_bootstrapped = |view: &View| view.registry.initial_members.contains_key(&PROGRAMS);
         let initial_members = match view.wait_for(is_bootstrapped).await {
@@ -209,11 +209,11 @@
             Err(_) => return,
         };
         let id = replica.identity.id;
-        let bootstrapped = match initial_members.iter().any(|member| member.id == id) {
-            true => replica.bootstrap(id, &initial_members).map_err(Error::new),
-            false => Ok(()),
+        let started = match initial_members.iter().any(|member| member.id == id) {
+            true => bootstrap(replica, initial_members).await,
+            false => Ok(replica),
         };
-        if let Err(error) = bootstrapped.and_then(|()| self.start_replica(PROGRAMS, replica)) {
+        if let Err(error) = started.and_then(|replica| self.start_replica(PROGRAMS, replica)) {
             tracing::error!(%error, "cannot start the replica");
         }
     }
@@ -622,6 +622,26 @@
     }
 }
 
+/// Makes a replica an initial member of its journal, on a thread for blocking work. Repeats it until the disk
+/// accepts that, since the journal counts on the replica.
+async fn bootstrap(mut replica: Replica, initial_members: Vec<Voter>) -> Result<Replica, Error> {
+    let initial_members: Arc<[Voter]> = initial_members.into();
+    loop {
+        let members = initial_members.clone();
+        let attempt = tokio::task::spawn_blocking(move || {
+            let written = replica.bootstrap(replica.identity.id, &members);
+            (replica, written)
+        });
+        let written;
+        (replica, written) = attempt.await.map_err(Error::new)?;
+        let Err(error) = written else {
+            return Ok(replica);
+        };
+        tracing::warn!(%error, "the replica is not bootstrapped yet");
+        tokio::time::sleep(BOOTSTRAP_PAUSE).await;
+    }
+}
+
 /// Reads the registry that the local replica has applied.
 async fn registry(handle: &Handle) -> Option<Registry> {
     let query = machine::encode(&Query::All).ok()?;
@@ -631,6 +651,9 @@
     }
 }
 
+/// Pause after a failed bootstrap of a replica.
+const BOOTSTRAP_PAUSE: Duration = Duration::from_millis(500);
+
 /// Exit code of the process after a fault of its replica.
 const EXIT_REPLICA: i32 = 3;
 
